--- /dev/null
+++ b/core/conf/keys.go
@@ -0,0 +1,36 @@
+package conf
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+)
+
+// Keyring finds the team of a bearer key.
+type Keyring struct{ teams map[[sha256.Size]byte]*Team }
+
+// NewKeyring indexes the key digests of a document's teams.
+func NewKeyring(d *Document) *Keyring {
+	k := &Keyring{teams: make(map[[sha256.Size]byte]*Team)}
+	for _, t := range d.teams {
+		for _, digest := range t.digests {
+			k.teams[[sha256.Size]byte(digest)] = t
+		}
+	}
+	return k
+}
+
+// Team returns the team of a key, or nil. The map is reached by the key's digest, which an attacker
+// cannot steer, so its timing says nothing of a key; the last comparison is in constant time.
+func (k *Keyring) Team(key string) *Team {
+	sum := sha256.Sum256([]byte(key))
+	t := k.teams[sum]
+	if t == nil {
+		return nil
+	}
+	for _, digest := range t.digests {
+		if subtle.ConstantTimeCompare(digest, sum[:]) == 1 {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/crash/registry.go
@@ -0,0 +1,338 @@
+package crash
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Fingerprint identifies a request by its target and body.
+type Fingerprint string
+
+// fingerprintBytes is enough for no two bodies of a day to share a fingerprint.
+const fingerprintBytes = 16
+
+// NewFingerprint returns the fingerprint of a body sent to a model or service.
+func NewFingerprint(target string, body []byte) Fingerprint {
+	h := sha256.New()
+	h.Write([]byte(target))
+	h.Write([]byte{0})
+	h.Write(body)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
+}
+
+// Verdict is how a request may run: Clear, Suspect or Quarantined.
+type Verdict interface{ verdict() }
+
+// Clear is a request without known crashes; a twin has to run where an identical one runs.
+type Clear struct{ twin string }
+
+// Suspect is a request that ran on an upstream when that died; it may not meet another suspect.
+type Suspect struct {
+	twin  string
+	avoid []string
+}
+
+// Quarantined is a request that two upstreams died of.
+type Quarantined struct{ remaining time.Duration }
+
+func (Clear) verdict()       {}
+func (Suspect) verdict()     {}
+func (Quarantined) verdict() {}
+
+// Twin returns the upstream that runs an identical request, or "".
+func (c Clear) Twin() string { return c.twin }
+
+// Twin returns the upstream that runs an identical request, or "".
+func (s Suspect) Twin() string { return s.twin }
+
+// Avoid returns the upstreams that died with the request.
+func (s Suspect) Avoid() []string { return s.avoid }
+
+// Remaining returns how long the quarantine still lasts.
+func (q Quarantined) Remaining() time.Duration { return q.remaining }
+
+// Mark says that an upstream died while it ran a request; nodes tell each other.
+type Mark struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Upstream    string      `json:"upstream"`
+	DataCentre  string      `json:"data-centre"`
+	Stamp       uint64      `json:"stamp"`
+	Cleared     bool        `json:"cleared"` // an operator or a complete answer took the suspicion back
+}
+
+// Constants of suspicion.
+const (
+	crashesToQuarantine = 2
+	suspicionTime       = 10 * time.Minute
+	// Two upstreams of one data centre dead within massWindow of each other and with no request in
+	// common point to a rack, a switch or the data centre, not to a request.
+	massWindow = time.Second
+)
+
+type record struct {
+	marks map[string]time.Time // by upstream
+	until time.Time            // end of the quarantine
+}
+
+type running struct {
+	upstream string
+	count    int
+}
+
+// Registry holds what one node knows of crashes.
+type Registry struct {
+	mu         sync.Mutex
+	now        func() time.Time
+	stamp      func() uint64
+	quarantine time.Duration
+	records    map[Fingerprint]*record
+	running    map[Fingerprint]*running
+	deaths     map[string]death // by upstream, the latest
+	cleared    map[Fingerprint]clearing
+}
+
+// clearing outranks the marks before it, which a node that was away may still bring.
+type clearing struct {
+	stamp uint64
+	at    time.Time
+}
+
+type death struct {
+	at         time.Time
+	dataCentre string
+	marked     []Fingerprint
+}
+
+// NewRegistry returns an empty registry; stamp orders its marks with those of other nodes.
+func NewRegistry(now func() time.Time, stamp func() uint64, quarantine time.Duration) *Registry {
+	return &Registry{
+		now:        now,
+		stamp:      stamp,
+		cleared:    make(map[Fingerprint]clearing),
+		quarantine: quarantine,
+		records:    make(map[Fingerprint]*record),
+		running:    make(map[Fingerprint]*running),
+		deaths:     make(map[string]death),
+	}
+}
+
+// SetQuarantine changes how long a quarantine lasts.
+func (r *Registry) SetQuarantine(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine = d
+}
+
+// Judge returns how a request may run now.
+func (r *Registry) Judge(f Fingerprint) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	twin := ""
+	if run := r.running[f]; run != nil {
+		twin = run.upstream
+	}
+	rec := r.records[f]
+	if rec == nil {
+		return Clear{twin: twin}
+	}
+	if rec.until.After(now) {
+		return Quarantined{remaining: rec.until.Sub(now)}
+	}
+	var avoid []string
+	for upstream, at := range rec.marks {
+		if now.Sub(at) < suspicionTime {
+			avoid = append(avoid, upstream)
+		}
+	}
+	if len(avoid) == 0 {
+		delete(r.records, f)
+		return Clear{twin: twin}
+	}
+	slices.Sort(avoid)
+	return Suspect{twin: twin, avoid: avoid}
+}
+
+// Begin notes that a request runs at an upstream.
+func (r *Registry) Begin(f Fingerprint, upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := r.running[f]
+	if run == nil || run.upstream != upstream {
+		run = &running{upstream: upstream}
+		r.running[f] = run
+	}
+	run.count++
+}
+
+// End notes that a request no longer runs at an upstream.
+func (r *Registry) End(f Fingerprint, upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := r.running[f]
+	if run == nil || run.upstream != upstream {
+		return
+	}
+	run.count--
+	if run.count == 0 {
+		delete(r.running, f)
+	}
+}
+
+// Completed clears a request that an upstream survived. It returns the mark for the other nodes, and
+// false where the request was no suspect.
+func (r *Registry) Completed(f Fingerprint) (Mark, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[f]
+	if rec == nil || rec.until.After(r.now()) {
+		return Mark{}, false
+	}
+	return r.clear(f), true
+}
+
+// Clear takes back all suspicion of a request on an operator's word, and returns the mark for the other nodes.
+func (r *Registry) Clear(f Fingerprint) Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clear(f)
+}
+
+func (r *Registry) clear(f Fingerprint) Mark {
+	m := Mark{Fingerprint: f, Stamp: r.stamp(), Cleared: true}
+	r.takeClearing(m)
+	return m
+}
+
+func (r *Registry) takeClearing(m Mark) {
+	now := r.now()
+	for f, c := range r.cleared {
+		if now.Sub(c.at) > suspicionTime {
+			delete(r.cleared, f)
+		}
+	}
+	if r.cleared[m.Fingerprint].stamp >= m.Stamp {
+		return
+	}
+	r.cleared[m.Fingerprint] = clearing{stamp: m.Stamp, at: now}
+	delete(r.records, m.Fingerprint)
+}
+
+// Died marks a request that ran on an upstream when that died. It returns the mark for the other
+// nodes, and false where the death is one of many.
+func (r *Registry) Died(f Fingerprint, upstream, dataCentre string) (Mark, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := Mark{Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp()}
+	return m, r.mark(m)
+}
+
+// Learn takes over a mark from another node.
+func (r *Registry) Learn(m Mark) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.Cleared {
+		r.takeClearing(m)
+		return
+	}
+	if m.Stamp <= r.cleared[m.Fingerprint].stamp {
+		return
+	}
+	r.mark(m)
+}
+
+func (r *Registry) mark(m Mark) bool {
+	now := r.now()
+	if r.isMassDeath(m, now) {
+		return false
+	}
+	d := r.deaths[m.Upstream]
+	if now.Sub(d.at) > massWindow {
+		d = death{at: now, dataCentre: m.DataCentre}
+	}
+	d.marked = append(d.marked, m.Fingerprint)
+	r.deaths[m.Upstream] = d
+	rec := r.records[m.Fingerprint]
+	if rec == nil {
+		rec = &record{marks: make(map[string]time.Time)}
+		r.records[m.Fingerprint] = rec
+	}
+	rec.marks[m.Upstream] = now
+	if !rec.until.After(now) && r.isCulprit(m.Fingerprint, rec) {
+		rec.until = now.Add(r.quarantine)
+	}
+	return true
+}
+
+// isCulprit reports whether enough upstreams died of a request, and of no other that was there each time.
+func (r *Registry) isCulprit(f Fingerprint, rec *record) bool {
+	if len(rec.marks) < crashesToQuarantine {
+		return false
+	}
+	if len(rec.marks) > crashesToQuarantine {
+		return true
+	}
+	for other, o := range r.records {
+		if other != f && containsAll(o.marks, rec.marks) {
+			return false
+		}
+	}
+	return true
+}
+
+func containsAll(marks, wanted map[string]time.Time) bool {
+	for upstream := range wanted {
+		if _, ok := marks[upstream]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// isMassDeath reports whether another upstream of the data centre died just now of something else.
+func (r *Registry) isMassDeath(m Mark, now time.Time) bool {
+	for upstream, d := range r.deaths {
+		if now.Sub(d.at) > suspicionTime {
+			delete(r.deaths, upstream)
+			continue
+		}
+		if upstream == m.Upstream || d.dataCentre != m.DataCentre || now.Sub(d.at) > massWindow {
+			continue
+		}
+		if !slices.Contains(d.marked, m.Fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
+// Entry is one quarantined request, for operators.
+type Entry struct {
+	Fingerprint Fingerprint   `json:"fingerprint"`
+	Upstreams   []string      `json:"upstreams"`
+	Remaining   time.Duration `json:"remaining-ns"`
+}
+
+// List returns the quarantined requests.
+func (r *Registry) List() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var out []Entry
+	for f, rec := range r.records {
+		if !rec.until.After(now) {
+			continue
+		}
+		e := Entry{Fingerprint: f, Remaining: rec.until.Sub(now)}
+		for upstream := range rec.marks {
+			e.Upstreams = append(e.Upstreams, upstream)
+		}
+		slices.Sort(e.Upstreams)
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return int(a.Remaining - b.Remaining) })
+	return out
+}
--- /dev/null
+++ b/core/kern/plugin.go
@@ -0,0 +1,61 @@
+package kern
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Kind is what a plug-in is good for.
+type Kind string
+
+// The kinds of plug-in.
+const (
+	PolicyKind   Kind = "routing-policy"
+	UpstreamKind Kind = "upstream-kind"
+	StoreKind    Kind = "platform-store"
+)
+
+// Doc describes a plug-in; `rhubarbspread explain` prints it.
+type Doc struct {
+	Name     string
+	Kind     Kind
+	Title    string
+	Text     string
+	Settings []string
+	Since    string
+}
+
+// Plugin is a description and a constructor, whose type its kind fixes.
+type Plugin struct {
+	Doc Doc
+	New any
+}
+
+var plugins = map[string]Plugin{}
+
+// Register adds a plug-in; it is called from init and panics on a name that is taken.
+func Register(p Plugin) {
+	if _, taken := plugins[p.Doc.Name]; taken {
+		panic(fmt.Sprintf("kern: plug-in %q registered twice", p.Doc.Name))
+	}
+	plugins[p.Doc.Name] = p
+}
+
+// Find returns the plug-in of a name.
+func Find(name string) (Plugin, bool) {
+	p, ok := plugins[name]
+	return p, ok
+}
+
+// Plugins returns all plug-ins by kind and name.
+func Plugins() []Plugin {
+	out := make([]Plugin, 0, len(plugins))
+	for _, p := range plugins {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b Plugin) int {
+		return cmp.Or(cmp.Compare(a.Doc.Kind, b.Doc.Kind), cmp.Compare(a.Doc.Name, b.Doc.Name))
+	})
+	return out
+}
--- /dev/null
+++ b/core/limit/pool.go
@@ -0,0 +1,369 @@
+package limit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"rhubarbspread/core/route"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Constants of admission.
+const (
+	defaultPatience = 400 * time.Millisecond
+	overrun         = 2                // how many times its patience a request may wait that was predicted to wait less
+	rateHorizon     = 2 * time.Second  // over which the rate of grants is measured
+	resumeWait      = 10 * time.Second // of an answer that a caller has part of
+	maxSeats        = 32               // upstreams of one target that a node uses
+	meanWeight      = 0.02
+	firstMean       = 64.0 // tokens of a request, until some were seen
+	idleAccount     = time.Minute
+	resumeTeam      = "" // the account of resumed answers, which goes before all teams
+)
+
+// Demand is what a request asks of a pool.
+type Demand struct {
+	Team     string
+	Weight   float64
+	Tokens   float64       // tokens to generate, or 1 for a call of a plain service
+	Prefill  float64       // tokens' worth of time to read the prompt
+	Prefix   uint64        // hash of the prompt's first blocks, or zero
+	Exclude  []string      // upstreams that the request has failed at
+	Resume   bool          // a caller has part of the answer already
+	Suspect  bool          // the request may crash its upstream
+	Twin     string        // the upstream that runs an identical request, which then has to run there too
+	Patience time.Duration // longest wait, or zero for the pool's
+}
+
+// Pool admits the requests of one model or service on one node.
+type Pool struct {
+	target   string
+	policy   route.Policy
+	now      func() time.Time
+	patience time.Duration
+	subset   int
+
+	mu         sync.Mutex
+	random     *rand.Rand
+	self       string
+	nodes      []string
+	seats      []*seat
+	queue      *fairQueue
+	meanTokens float64
+	drained    float64 // tokens released, decayed over rateHorizon
+	drainedAt  time.Time
+	forgotAt   time.Time
+	candidates []route.Candidate
+	indexes    []int
+}
+
+// PoolOption sets a part of a Pool.
+type PoolOption func(*Pool)
+
+// WithClock sets the source of time.
+func WithClock(now func() time.Time) PoolOption { return func(p *Pool) { p.now = now } }
+
+// WithSeed fixes the random choices.
+func WithSeed(seed uint64) PoolOption {
+	return func(p *Pool) { p.random = rand.New(rand.NewPCG(seed, xxhash.Sum64String(p.target))) }
+}
+
+// WithPatience sets the longest predicted wait that is not refused.
+func WithPatience(d time.Duration) PoolOption { return func(p *Pool) { p.patience = d } }
+
+// WithSubset bounds the upstreams that the node uses.
+func WithSubset(n int) PoolOption { return func(p *Pool) { p.subset = n } }
+
+// NewPool returns a pool without upstreams for a model or service.
+func NewPool(target string, policy route.Policy, opts ...PoolOption) *Pool {
+	p := &Pool{
+		target:     target,
+		policy:     policy,
+		now:        time.Now,
+		patience:   defaultPatience,
+		subset:     maxSeats,
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		nodes:      []string{""},
+		queue:      newFairQueue(),
+		meanTokens: firstMean,
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	p.drainedAt = p.now()
+	p.forgotAt = p.now()
+	return p
+}
+
+// Target returns the model or service of the pool.
+func (p *Pool) Target() string { return p.target }
+
+// SetPatience changes the longest predicted wait that is not refused.
+func (p *Pool) SetPatience(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.patience = d
+}
+
+// Acquire waits for a place at an upstream; its error is an *Error, and means that nothing was sent.
+func (p *Pool) Acquire(ctx context.Context, d Demand) (*Grant, error) {
+	w, g, err := p.enter(d)
+	if g != nil || err != nil {
+		return g, err
+	}
+	patience := p.waitLimit(d)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return g, nil
+	case <-ctx.Done():
+		return p.leave(w, &Error{cause: Abandoned, target: p.target})
+	case <-timer.C:
+		return p.leave(w, &Error{cause: Expired, target: p.target, wait: patience, retryAfter: time.Second})
+	}
+}
+
+func (p *Pool) patienceOf(d Demand) time.Duration {
+	if d.Patience > 0 {
+		return d.Patience
+	}
+	return p.patience
+}
+
+func (p *Pool) waitLimit(d Demand) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d.Resume {
+		return resumeWait
+	}
+	return overrun * p.patienceOf(d)
+}
+
+// enter grants at once, refuses at once or queues.
+func (p *Pool) enter(d Demand) (*waiter, *Grant, error) {
+	if d.Weight <= 0 {
+		d.Weight = 1
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.meanTokens += meanWeight * (d.Tokens - p.meanTokens)
+	p.forgetIdle(now)
+	a := p.accountOf(d, now)
+	if g := p.tryDirect(a, d, now); g != nil {
+		return nil, g, nil
+	}
+	if !d.Resume && !p.anyFit(now) {
+		return nil, nil, &Error{cause: Unavailable, target: p.target, retryAfter: p.untilFit(now)}
+	}
+	wait := p.predictWait(a, d, now)
+	if patience := p.patienceOf(d); wait > patience && !d.Resume {
+		return nil, nil, &Error{cause: Overloaded, target: p.target, wait: wait, retryAfter: max(wait-patience, time.Second)}
+	}
+	w := &waiter{demand: d, deadline: now.Add(p.patienceOf(d)), granted: make(chan *Grant, 1)}
+	p.queue.push(a, w)
+	return w, nil, nil
+}
+
+func (p *Pool) accountOf(d Demand, now time.Time) *account {
+	if d.Resume {
+		return p.queue.account(resumeTeam, 1, now)
+	}
+	return p.queue.account(d.Team, d.Weight, now)
+}
+
+// tryDirect passes the queue only where nobody waits who could take the place.
+func (p *Pool) tryDirect(a *account, d Demand, now time.Time) *Grant {
+	if p.queue.length > 0 && !d.Resume {
+		return nil
+	}
+	s := p.choose(d, now)
+	if s == nil {
+		return nil
+	}
+	p.queue.charge(a, d.Tokens)
+	return p.grant(s, d, now)
+}
+
+func (p *Pool) anyFit(now time.Time) bool {
+	for _, s := range p.seats {
+		if s.fit(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) untilFit(now time.Time) time.Duration {
+	least := time.Second
+	for _, s := range p.seats {
+		if d := s.ejected.Sub(now); !s.draining && d > 0 && d < least {
+			least = d
+		}
+	}
+	return least
+}
+
+// predictWait returns how long the tokens ahead of a request keep the node's share of the upstreams busy.
+func (p *Pool) predictWait(a *account, d Demand, now time.Time) time.Duration {
+	p.decay(now)
+	measured := p.drained / rateHorizon.Seconds()
+	rate := max(measured, p.shareRate(now)/2, 1e-3)
+	return time.Duration(p.queue.ahead(a, d.Tokens) / rate * float64(time.Second))
+}
+
+// shareRate returns the tokens/s of the node's windows if other nodes fill theirs.
+func (p *Pool) shareRate(now time.Time) float64 {
+	sum := 0.0
+	for _, s := range p.seats {
+		if s.fit(now) {
+			part := min(1, float64(s.window())/float64(s.places(p.meanTokens)))
+			sum += part * float64(s.slots()) * s.streamRate()
+		}
+	}
+	return sum
+}
+
+func (p *Pool) decay(now time.Time) {
+	gone := now.Sub(p.drainedAt)
+	if gone <= 0 {
+		return
+	}
+	p.drained *= max(0, 1-gone.Seconds()/rateHorizon.Seconds())
+	p.drainedAt = now
+}
+
+func (p *Pool) forgetIdle(now time.Time) {
+	if now.Sub(p.forgotAt) < idleAccount {
+		return
+	}
+	p.forgotAt = now
+	p.queue.forget(now.Add(-idleAccount))
+}
+
+// dropTwin lets a request run anywhere once the upstream of its twin is not fit for work.
+func (p *Pool) dropTwin(d Demand, now time.Time) Demand {
+	for _, s := range p.seats {
+		if s.upstream.Name() == d.Twin && s.fit(now) {
+			return d
+		}
+	}
+	d.Twin = ""
+	return d
+}
+
+// choose asks the policy for one of the seats that may take the demand, or returns nil.
+func (p *Pool) choose(d Demand, now time.Time) *seat {
+	if d.Twin != "" {
+		d = p.dropTwin(d, now)
+	}
+	p.candidates = p.candidates[:0]
+	p.indexes = p.indexes[:0]
+	favored := p.favored(d.Prefix, now)
+	// A resumed answer goes beyond the window: the upstream lets it pass those that wait.
+	windowed := p.policy.Windowed() && !d.Resume
+	isolation := worstIsolation
+	for i, s := range p.seats {
+		if !s.fit(now) || !s.room(windowed) || excluded(d, s) {
+			continue
+		}
+		if d.Suspect && d.Twin == "" {
+			grade := s.isolation()
+			if grade > isolation {
+				continue
+			}
+			if grade < isolation {
+				isolation = grade
+				p.candidates = p.candidates[:0]
+				p.indexes = p.indexes[:0]
+			}
+		}
+		p.candidates = append(p.candidates, route.Candidate{
+			Name:    s.upstream.Name(),
+			Ours:    s.ours,
+			Others:  s.others(),
+			Slots:   s.slots(),
+			Rate:    s.streamRate(),
+			Link:    s.link,
+			Home:    s.home,
+			Cached:  s.prefixes.has(d.Prefix),
+			Favored: i == favored,
+		})
+		p.indexes = append(p.indexes, i)
+	}
+	if len(p.candidates) == 0 {
+		return nil
+	}
+	q := route.Query{Tokens: d.Tokens, Prefill: d.Prefill}
+	return p.seats[p.indexes[p.policy.Choose(q, p.candidates, p.random.Uint64())]]
+}
+
+// favored maps a prefix to one of the fit seats, the same on every node.
+func (p *Pool) favored(prefix uint64, now time.Time) int {
+	best := -1
+	if prefix == 0 {
+		return best
+	}
+	var most uint64
+	for i, s := range p.seats {
+		if w := weigh(prefix, s.hash); s.fit(now) && (best < 0 || w > most) {
+			best, most = i, w
+		}
+	}
+	return best
+}
+
+func excluded(d Demand, s *seat) bool {
+	if d.Twin != "" && d.Twin != s.upstream.Name() {
+		return true
+	}
+	for _, name := range d.Exclude {
+		if name == s.upstream.Name() {
+			return true
+		}
+	}
+	return false
+}
+
+// leave takes a waiter out of the queue, unless a grant overtook it.
+func (p *Pool) leave(w *waiter, err *Error) (*Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.index >= 0 {
+		a := p.accountOf(w.demand, p.now())
+		p.queue.remove(a, w)
+		return nil, err
+	}
+	g := <-w.granted
+	if err.cause != Abandoned {
+		return g, nil
+	}
+	p.giveBack(g)
+	p.serveQueue()
+	return nil, err
+}
+
+// serveQueue grants places until nobody waits who fits one.
+func (p *Pool) serveQueue() {
+	for p.queue.length > 0 {
+		now := p.now()
+		var found *seat
+		a, w := p.queue.next(func(w *waiter) bool {
+			s := p.choose(w.demand, now)
+			if s != nil {
+				found = s
+			}
+			return s != nil
+		})
+		if w == nil {
+			return
+		}
+		p.queue.remove(a, w)
+		p.queue.charge(a, w.demand.Tokens)
+		w.granted <- p.grant(found, w.demand, now)
+	}
+}
--- /dev/null
+++ b/core/limit/queue.go
@@ -0,0 +1,151 @@
+package limit
+
+import (
+	"container/heap"
+	"time"
+)
+
+// waiter is a request that waits for a seat.
+type waiter struct {
+	demand   Demand
+	deadline time.Time
+	sequence uint64
+	granted  chan *Grant
+	index    int
+}
+
+// line holds one team's waiters by deadline.
+type line []*waiter
+
+func (l line) Len() int { return len(l) }
+
+func (l line) Less(i, j int) bool {
+	if l[i].deadline.Equal(l[j].deadline) {
+		return l[i].sequence < l[j].sequence
+	}
+	return l[i].deadline.Before(l[j].deadline)
+}
+
+func (l line) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].index, l[j].index = i, j
+}
+
+// Push appends a waiter, for container/heap.
+func (l *line) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*l)
+	*l = append(*l, w)
+}
+
+// Pop removes the last waiter, for container/heap.
+func (l *line) Pop() any {
+	old := *l
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*l = old[:len(old)-1]
+	w.index = -1
+	return w
+}
+
+// account is a team's place in the fair queue.
+type account struct {
+	team    string
+	weight  float64
+	virtual float64 // tokens granted over weight
+	queued  float64 // tokens that wait
+	waiting line
+	used    time.Time
+}
+
+// fairQueue shares grants over teams in proportion to their weights (start-time fair queueing).
+type fairQueue struct {
+	accounts map[string]*account
+	virtual  float64 // virtual time of the latest grant
+	length   int
+	sequence uint64
+}
+
+func newFairQueue() *fairQueue { return &fairQueue{accounts: make(map[string]*account)} }
+
+// account returns a team's account; a team that comes back from idleness starts at the present virtual
+// time, so that it can't save up shares.
+func (q *fairQueue) account(team string, weight float64, now time.Time) *account {
+	a := q.accounts[team]
+	if a == nil {
+		a = &account{team: team}
+		q.accounts[team] = a
+	}
+	a.weight = weight
+	a.used = now
+	if len(a.waiting) == 0 {
+		a.virtual = max(a.virtual, q.virtual)
+	}
+	return a
+}
+
+// charge takes a grant's tokens from a team's share.
+func (q *fairQueue) charge(a *account, tokens float64) {
+	q.virtual = max(q.virtual, a.virtual)
+	a.virtual += tokens / a.weight
+}
+
+func (q *fairQueue) push(a *account, w *waiter) {
+	q.sequence++
+	w.sequence = q.sequence
+	heap.Push(&a.waiting, w)
+	a.queued += w.demand.Tokens
+	q.length++
+}
+
+func (q *fairQueue) remove(a *account, w *waiter) {
+	heap.Remove(&a.waiting, w.index)
+	a.queued -= w.demand.Tokens
+	q.length--
+}
+
+// ahead returns the tokens that would be granted before a request of a team: of every other team,
+// no more than its weight gives it while this team's own backlog is worked off.
+func (q *fairQueue) ahead(a *account, tokens float64) float64 {
+	own := a.queued + tokens
+	sum := a.queued
+	for _, other := range q.accounts {
+		if other != a {
+			sum += min(other.queued, own*other.weight/a.weight)
+		}
+	}
+	return sum
+}
+
+// next returns the waiter to serve first among those that fits accepts, or nil.
+func (q *fairQueue) next(fits func(*waiter) bool) (*account, *waiter) {
+	var chosen *account
+	for _, a := range q.accounts {
+		if len(a.waiting) == 0 || (chosen != nil && !before(a, chosen)) {
+			continue
+		}
+		if fits(a.waiting[0]) {
+			chosen = a
+		}
+	}
+	if chosen == nil {
+		return nil, nil
+	}
+	return chosen, chosen.waiting[0]
+}
+
+func before(a, b *account) bool {
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
+	}
+	return a.team < b.team
+}
+
+// forget drops the accounts of teams that are idle, which 2,800 teams would otherwise pile up.
+func (q *fairQueue) forget(before time.Time) {
+	for team, a := range q.accounts {
+		if len(a.waiting) == 0 && a.used.Before(before) && a.virtual <= q.virtual {
+			delete(q.accounts, team)
+		}
+	}
+}
--- /dev/null
+++ b/core/plugs/doc.go
@@ -0,0 +1,2 @@
+// Package plugs links every plug-in of core into the program; it is their one list.
+package plugs
--- /dev/null
+++ b/core/reply/doc.go
@@ -0,0 +1,2 @@
+// Package reply holds what is known of an attempt and what a caller may truthfully be told of it.
+package reply
--- /dev/null
+++ b/core/reply/refusal.go
@@ -0,0 +1,68 @@
+package reply
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Refusal is the error that a caller is told in place of an answer.
+type Refusal struct {
+	status     int
+	code       string
+	detail     string
+	run        RunState
+	retryAfter time.Duration
+}
+
+// RefusalOption sets a part of a Refusal.
+type RefusalOption func(*Refusal)
+
+// WithRetryAfter tells the caller when a repeat makes sense.
+func WithRetryAfter(d time.Duration) RefusalOption {
+	return func(r *Refusal) { r.retryAfter = d }
+}
+
+// WithRun sets the run state, which is NotRun otherwise.
+func WithRun(s RunState) RefusalOption {
+	return func(r *Refusal) { r.run = s }
+}
+
+// NewRefusal returns a Refusal with an HTTP status, a kebab-case code and a detail for people.
+func NewRefusal(status int, code, detail string, opts ...RefusalOption) *Refusal {
+	r := &Refusal{status: status, code: code, detail: detail, run: NotRun}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Error returns the refusal on one line.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%d, %s): %s", r.code, r.status, r.run, r.detail)
+}
+
+// Status returns the HTTP status.
+func (r *Refusal) Status() int { return r.status }
+
+// Code returns the kebab-case name of the cause.
+func (r *Refusal) Code() string { return r.code }
+
+// Detail returns the explanation for people.
+func (r *Refusal) Detail() string { return r.detail }
+
+// Run returns the run state.
+func (r *Refusal) Run() RunState { return r.run }
+
+// RetryAfter returns when a repeat makes sense, or zero where none does.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
+// Exhausted returns the refusal of a request whose attempts all failed.
+func Exhausted(a *Account, retryAfter time.Duration) *Refusal {
+	detail := "no upstream could be tried"
+	if a.Last() != nil {
+		detail = fmt.Sprintf("%d attempts failed, the last one: %s", a.Attempts(), Reason(a.Last()))
+	}
+	return NewRefusal(http.StatusServiceUnavailable, "upstreams-failed", detail,
+		WithRun(a.State()), WithRetryAfter(retryAfter))
+}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds repeats: a budget per team and target, and jittered backoff.
+package retry
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,2 @@
+// Package route describes upstreams and what a routing policy knows when it chooses one.
+package route
--- /dev/null
+++ b/core/route/finish/doc.go
@@ -0,0 +1,2 @@
+// Package finish is the routing policy that takes the earliest predicted finish.
+package finish
--- /dev/null
+++ b/core/route/random/doc.go
@@ -0,0 +1,2 @@
+// Package random is a baseline policy that takes any upstream.
+package random
--- /dev/null
+++ b/core/route/robin/doc.go
@@ -0,0 +1,2 @@
+// Package robin is a baseline policy that takes upstreams in turn.
+package robin
--- /dev/null
+++ b/io/blob/doc.go
@@ -0,0 +1,2 @@
+// Package blob reaches the platform's object store over HTTP.
+package blob
--- /dev/null
+++ b/io/cli/cli.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"rhubarbspread/io/daemon"
+
+	"github.com/google/subcommands"
+	"github.com/peterbourgon/ff/v3"
+)
+
+// Exit codes of every subcommand.
+const (
+	exitOK          = subcommands.ExitSuccess
+	exitFailed      = subcommands.ExitFailure
+	exitUsage       = subcommands.ExitUsageError
+	exitUnreachable = subcommands.ExitStatus(3) // the platform or a node did not answer
+	exitRaced       = subcommands.ExitStatus(4) // somebody else changed it first
+	exitDoubt       = subcommands.ExitStatus(5) // an answer was lost, and the outcome is not known
+)
+
+const exitHelp = `Exit codes:
+  0  done
+  1  failed; the message says why
+  2  wrong arguments or settings
+  3  the platform or a node could not be reached
+  4  somebody else changed it first; look again
+  5  an answer was lost, and whether the change was made is not known
+`
+
+// Main runs the program's command line and returns its exit code.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// Run runs a subcommand with its arguments and returns its exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("rhubarbspread", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	commander := subcommands.NewCommander(flags, "rhubarbspread")
+	commander.Output = stdout
+	commander.Error = stderr
+	explain := commander.Explain
+	commander.Explain = func(w io.Writer) {
+		explain(w)
+		fmt.Fprint(w, exitHelp)
+	}
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	out := &output{stdout: stdout, stderr: stderr}
+	for _, group := range commands(out) {
+		for _, c := range group.commands {
+			commander.Register(c, group.name)
+		}
+	}
+	if err := flags.Parse(args); err != nil {
+		return int(exitUsage)
+	}
+	return int(commander.Execute(ctx))
+}
+
+type group struct {
+	name     string
+	commands []subcommands.Command
+}
+
+func commands(out *output) []group {
+	return []group{
+		{"daemons", []subcommands.Command{&nodeCommand{output: out}, &demoCommand{output: out}}},
+		{"help", []subcommands.Command{&versionCommand{output: out}, &explainCommand{output: out}}},
+	}
+}
+
+// output is where a subcommand writes.
+type output struct{ stdout, stderr io.Writer }
+
+func (o *output) printf(format string, args ...any) { fmt.Fprintf(o.stdout, format, args...) }
+
+func (o *output) failf(code subcommands.ExitStatus, format string, args ...any) subcommands.ExitStatus {
+	fmt.Fprintf(o.stderr, "rhubarbspread: "+format+"\n", args...)
+	return code
+}
+
+// settle takes the settings that the arguments left out from the environment.
+func settle(f *flag.FlagSet) error {
+	return ff.Parse(f, f.Args(), ff.WithEnvVarPrefix(daemon.EnvPrefix))
+}
+
+// noArguments refuses what stands behind the flags.
+func noArguments(f *flag.FlagSet) error {
+	if f.NArg() > 0 {
+		return fmt.Errorf("unexpected argument %q", f.Arg(0))
+	}
+	return nil
+}
--- /dev/null
+++ b/io/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the subcommands of the program.
+package cli
--- /dev/null
+++ b/io/cli/node.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"os"
+
+	"rhubarbspread/io/daemon"
+	"rhubarbspread/io/logs"
+
+	"github.com/google/subcommands"
+)
+
+// nodeCommand runs the daemon of an entry VM.
+type nodeCommand struct {
+	*output
+	config  daemon.Config
+	verbose bool
+}
+
+// Name returns the subcommand's name.
+func (*nodeCommand) Name() string { return "node" }
+
+// Synopsis returns one line of help.
+func (*nodeCommand) Synopsis() string { return "run the daemon of an entry VM" }
+
+// Usage returns the help.
+func (*nodeCommand) Usage() string {
+	return `node [flags]
+  Runs the daemon until SIGTERM, then stops gracefully. Every flag can be given by an environment
+  variable: -data-centre by RHUBARBSPREAD_DATA_CENTRE, and so on. Secrets come from the environment alone:
+  RHUBARBSPREAD_SECRET, which all nodes share, and RHUBARBSPREAD_ADMIN_KEY.
+`
+}
+
+// SetFlags declares the flags.
+func (c *nodeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config.Node, "node", "", "name of the node, unlike any other's")
+	f.StringVar(&c.config.DataCentre, "data-centre", "", "data centre of the VM")
+	f.StringVar(&c.config.Environment, "environment", "production", "environment whose document is in force")
+	f.StringVar(&c.config.Callers, "callers", "", "IP:port for callers")
+	f.StringVar(&c.config.Peers, "peers", "", "IP:port for other nodes")
+	f.StringVar(&c.config.Admin, "admin", "", "IP:port for operators")
+	f.StringVar(&c.config.Table, "table", "", "IP:port of the platform's table service")
+	f.StringVar(&c.config.Objects, "objects", "", "IP:port of the platform's object store")
+	f.StringVar(&c.config.List, "list", "", "IP:port of the platform's list of VMs")
+	f.StringVar(&c.config.Policy, "policy", "finish", "routing policy; see explain")
+	f.BoolVar(&c.verbose, "verbose", false, "log details")
+}
+
+// Execute runs the daemon.
+func (c *nodeCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := errors.Join(settle(f), noArguments(f)); err != nil {
+		return c.failf(exitUsage, "%v", err)
+	}
+	c.config.Secret = os.Getenv(daemon.EnvName("secret"))
+	c.config.AdminKey = os.Getenv(daemon.EnvName("admin-key"))
+	log := logs.New(c.stderr, c.verbose)
+	logs.TakeOver(log)
+	n, err := daemon.New(c.config, log)
+	var bad *daemon.ConfigError
+	switch {
+	case errors.As(err, &bad):
+		return c.failf(exitUsage, "%v", err)
+	case err != nil:
+		return c.failf(exitFailed, "%v", err)
+	}
+	if err := n.Run(ctx); err != nil {
+		return c.failf(exitFailed, "%v", err)
+	}
+	return exitOK
+}
--- /dev/null
+++ b/io/daemon/admin.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"rhubarbspread/core/chain"
+	"rhubarbspread/core/crash"
+	"rhubarbspread/core/event"
+	"rhubarbspread/core/kern"
+	"rhubarbspread/core/member"
+	"rhubarbspread/io/serve"
+)
+
+// drainOn is the value of a fact that drains a VM.
+const drainOn = "on"
+
+// adminBody bounds an operator's body.
+const adminBody = 1 << 16
+
+func joinNames(names []string) string { return strings.Join(names, ",") }
+
+func stagesOf(v *kern.View) map[string]*chain.Stages {
+	out := make(map[string]*chain.Stages)
+	for name := range v.Pools() {
+		if s := v.Stages(name); s != nil {
+			out[name] = s
+		}
+	}
+	return out
+}
+
+// adminHandler returns the operators' interface, which has a port and a key of its own.
+func (n *Node) adminHandler() (http.Handler, error) {
+	return serve.Admin(n.config.AdminKey, []serve.AdminRoute{
+		{Method: http.MethodGet, Path: "/v1/status", Handler: n.serveStatus},
+		{Method: http.MethodGet, Path: "/v1/nodes", Handler: n.serveNodes},
+		{Method: http.MethodGet, Path: "/v1/upstreams", Handler: n.serveUpstreams},
+		{Method: http.MethodGet, Path: "/v1/timeline", Handler: n.serveTimeline},
+		{Method: http.MethodGet, Path: "/v1/quarantine", Handler: n.serveQuarantine},
+		{Method: http.MethodDelete, Path: "/v1/quarantine/:fingerprint", Handler: n.serveClear},
+		{Method: http.MethodPost, Path: "/v1/drain", Handler: n.serveDrain},
+		{Method: http.MethodGet, Path: "/debug/vars", Handler: n.stats.Handler().ServeHTTP},
+	})
+}
+
+// Status is a node's own account.
+type Status struct {
+	Node        string `json:"node"`
+	DataCentre  string `json:"data-centre"`
+	Environment string `json:"environment"`
+	Version     uint64 `json:"version"`
+	Digest      string `json:"digest"`
+	Ready       bool   `json:"ready"`
+	InFlight    int64  `json:"in-flight"`
+	Unrecorded  int64  `json:"unrecorded"`
+	Nodes       int    `json:"nodes"`
+	Upstreams   int    `json:"upstreams"`
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	v := n.control.View()
+	s := Status{
+		Node: n.config.Node, DataCentre: n.config.DataCentre, Environment: n.config.Environment,
+		Version: v.Version(), Ready: v.Ready(), InFlight: n.callers.InFlight(),
+		Unrecorded: n.ledger.Unrecorded(), Nodes: len(n.swim.Alive()), Upstreams: len(v.Upstreams()),
+	}
+	if v.Ready() {
+		s.Digest = v.Document().Digest()
+	}
+	serve.JSON(w, s)
+}
+
+// NodeLine is one node as another sees it.
+type NodeLine struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre"`
+	Address    string `json:"address"`
+	Admin      string `json:"admin"`
+	State      string `json:"state"`
+}
+
+func (n *Node) serveNodes(w http.ResponseWriter, _ *http.Request) {
+	lines := []NodeLine{}
+	for _, m := range n.swim.All() {
+		lines = append(lines, NodeLine{Name: m.Name, DataCentre: m.DataCentre, Address: m.Address, Admin: m.Admin, State: m.State.String()})
+	}
+	serve.JSON(w, struct {
+		Nodes []NodeLine `json:"nodes"`
+	}{lines})
+}
+
+// UpstreamLine is one upstream as a node sees it.
+type UpstreamLine struct {
+	Name       string  `json:"name"`
+	DataCentre string  `json:"data-centre"`
+	Serves     string  `json:"serves"`
+	Layers     string  `json:"layers,omitempty"`
+	Draining   bool    `json:"draining"`
+	Fit        bool    `json:"fit"`
+	InFlight   int     `json:"in-flight"`
+	Window     int     `json:"window"`
+	Slots      int     `json:"slots"`
+	Rate       float64 `json:"tokens-per-second"`
+	LinkMS     float64 `json:"link-ms"`
+	Failures   int     `json:"failures"`
+}
+
+func (n *Node) serveUpstreams(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, struct {
+		Upstreams []UpstreamLine `json:"upstreams"`
+	}{upstreamLines(n.control.View())})
+}
+
+func upstreamLines(v *kern.View) []UpstreamLine {
+	seats := make(map[string]UpstreamLine)
+	for _, pool := range v.Pools() {
+		states, _ := pool.State()
+		for _, s := range states {
+			seats[s.Upstream] = UpstreamLine{
+				Fit: s.Fit, InFlight: s.InFlight, Window: s.Window, Slots: s.Slots, Rate: s.Rate,
+				LinkMS: float64(s.Link) / float64(time.Millisecond), Failures: s.Failures,
+			}
+		}
+	}
+	lines := []UpstreamLine{}
+	for _, u := range v.Upstreams() {
+		line := seats[u.Name()]
+		line.Name, line.DataCentre, line.Serves = u.Name(), u.DataCentre(), u.Serves()
+		line.Draining = v.Draining(u.Name())
+		if stages := v.Stages(u.Serves()); stages != nil {
+			first, last := u.Layers()
+			line.Layers = layersText(first, last)
+			line.Fit = stages.Usable(u.Name())
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func (n *Node) serveTimeline(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	f := event.Filter{
+		Request: q.Get("request"), Team: q.Get("team"), Upstream: q.Get("upstream"),
+		Node: q.Get("node"), Kind: q.Get("kind"),
+	}
+	if since := q.Get("since"); since != "" {
+		t, err := time.Parse(time.RFC3339, since)
+		if err != nil {
+			http.Error(w, "since: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		f.Since = event.StampOf(t)
+	}
+	events := n.ring.Select(f)
+	if events == nil {
+		events = []event.Event{}
+	}
+	serve.JSON(w, struct {
+		Events []event.Event `json:"events"`
+	}{events})
+}
+
+func (n *Node) serveQuarantine(w http.ResponseWriter, _ *http.Request) {
+	entries := n.crashes.List()
+	if entries == nil {
+		entries = []crash.Entry{}
+	}
+	serve.JSON(w, struct {
+		Quarantine []crash.Entry `json:"quarantine"`
+	}{entries})
+}
+
+func (n *Node) serveClear(w http.ResponseWriter, r *http.Request) {
+	fingerprint := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	n.spread(n.crashes.Clear(crash.Fingerprint(fingerprint)))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveDrain starts or ends the draining of a VM on all nodes.
+func (n *Node) serveDrain(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Name  string `json:"name"`
+		Drain bool   `json:"drain"`
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, adminBody))
+	if err == nil {
+		err = json.Unmarshal(raw, &body)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !n.knows(body.Name) {
+		http.Error(w, "no upstream "+body.Name, http.StatusNotFound)
+		return
+	}
+	value := ""
+	if body.Drain {
+		value = drainOn
+	}
+	n.swim.Publish(member.Fact{Kind: drainFact, Key: body.Name, Version: uint64(n.clock.Next()), Value: []byte(value)})
+	n.peer.Push()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (n *Node) knows(upstream string) bool {
+	for _, u := range n.control.View().Upstreams() {
+		if u.Name() == upstream {
+			return true
+		}
+	}
+	return false
+}
+
+func layersText(first, last int) string { return fmt.Sprintf("%d-%d", first, last-1) }
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,298 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"rhubarbspread/core/call"
+	"rhubarbspread/core/chain"
+	"rhubarbspread/core/conf"
+	"rhubarbspread/core/crash"
+	"rhubarbspread/core/event"
+	"rhubarbspread/core/kern"
+	"rhubarbspread/core/member"
+	"rhubarbspread/core/once"
+	_ "rhubarbspread/core/plugs" // registers the plug-ins of core
+	"rhubarbspread/core/relay"
+	"rhubarbspread/core/retry"
+	"rhubarbspread/core/route"
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/blob"
+	"rhubarbspread/io/dial"
+	"rhubarbspread/io/list"
+	"rhubarbspread/io/model"
+	"rhubarbspread/io/peer"
+	"rhubarbspread/io/plain"
+	"rhubarbspread/io/serve"
+	"rhubarbspread/io/stats"
+	"rhubarbspread/io/table"
+
+	"github.com/go-logr/logr"
+)
+
+// Constants of a node's life.
+const (
+	ringRoom       = 16_384 // events kept
+	balancerNotice = time.Second
+	stopTime       = 60 * time.Second // in which requests under way may end
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	headerBytes    = 32 << 10
+	firstDefault   = 0.1 // retry share until a document says another
+	quarantineTime = 10 * time.Minute
+)
+
+// Node is one running node.
+type Node struct {
+	config   Config
+	log      logr.Logger
+	clock    *event.Clock
+	ring     *event.Ring
+	stats    *stats.Set
+	swim     *member.Swim
+	peer     *peer.Peer
+	control  *kern.Control
+	budget   *retry.Budget
+	crashes  *crash.Registry
+	ledger   *once.Ledger
+	relay    *relay.Relay
+	chain    *chain.Engine
+	engines  *model.Client
+	callers  *serve.Callers
+	registry *conf.Registry
+	table    store.Table
+	list     store.List
+	wake     chan struct{} // a document was told of
+	life     context.Context
+	endLife  context.CancelFunc
+	inForce  uint64 // version of the document; the control goroutine's
+
+	callersListener, adminListener, peersListener net.Listener
+}
+
+// New returns a node that listens and does nothing else yet. The error is a *ConfigError or of a listener.
+func New(config Config, log logr.Logger) (*Node, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{config: config, log: log.WithValues("node", config.Node), clock: event.NewClock(time.Now), stats: stats.New(), wake: make(chan struct{}, 1)}
+	n.life, n.endLife = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.ring = event.NewRing(config.Node, n.clock, ringRoom)
+	n.table = table.New(config.Table)
+	n.list = list.New(config.List)
+	n.registry = conf.NewRegistry(n.table, blob.New(config.Objects))
+	n.budget = retry.NewBudget(firstDefault)
+	n.crashes = crash.NewRegistry(time.Now, func() uint64 { return uint64(n.clock.Next()) }, quarantineTime)
+	if err := n.joinPeers(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	n.buildTraffic()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		flag, address string
+		into          *net.Listener
+	}{
+		{"callers", n.config.Callers, &n.callersListener},
+		{"peers", n.config.Peers, &n.peersListener},
+		{"admin", n.config.Admin, &n.adminListener},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			n.closeListeners()
+			return fmt.Errorf("-%s (%s): %w", l.flag, EnvName(l.flag), err)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callersListener, n.peersListener, n.adminListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// CallersAddress returns the IP:port for callers.
+func (n *Node) CallersAddress() string { return n.callersListener.Addr().String() }
+
+// AdminAddress returns the IP:port for operators.
+func (n *Node) AdminAddress() string { return n.adminListener.Addr().String() }
+
+// PeersAddress returns the IP:port for nodes.
+func (n *Node) PeersAddress() string { return n.peersListener.Addr().String() }
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.config.Node }
+
+func (n *Node) joinPeers() error {
+	tlsConfig, err := peer.TLSConfig(n.config.Secret)
+	if err != nil {
+		return err
+	}
+	self := member.Node{
+		Name: n.config.Node, Address: n.PeersAddress(), Admin: n.AdminAddress(), DataCentre: n.config.DataCentre,
+		// A later start has to outrank an earlier one; should the clock have gone back, the first
+		// exchange tells the node of its higher former incarnation, and it goes above that.
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	n.swim = member.New(self, member.WithOnFact(n.onFact), member.WithOnNodes(n.onNodes))
+	n.peer = peer.New(n.swim, n.clock, tlsConfig, peer.WithFates(n.fate), peer.WithBodies(n.body))
+	return nil
+}
+
+func (n *Node) fate(token string) (once.Fate, *once.Response) { return n.ledger.Fate(token) }
+
+func (n *Node) body(digest string) []byte {
+	if d := n.control.View().Document(); d != nil && d.Digest() == digest {
+		return d.Body()
+	}
+	return nil
+}
+
+func (n *Node) buildTraffic() {
+	book := dial.NewBook()
+	n.engines = model.New(book)
+	p, _ := kern.Find(n.config.Policy)
+	policy := p.New.(func() route.Policy)()
+	n.control = kern.NewControl(n.config.Node, n.config.DataCentre, policy, kern.WithOnView(n.onView))
+	incarnation := fmt.Sprintf("%x", time.Now().UnixNano())
+	n.ledger = once.New(n.table, n.peer, n.config.Node, incarnation)
+	n.chain = chain.NewEngine(n.engines, chain.WithCrashes(n.crashes, n.spread), chain.WithRing(n.ring))
+	engine := relay.NewSplit(n.engines, n.chain)
+	n.relay = relay.New(n.config.Node+"-"+incarnation, engine, n.budget, n.crashes, n.ring, relay.WithSpread(n.spread))
+	desk := call.New(plain.New(book), n.budget, n.ledger, n.ring)
+	n.callers = serve.NewCallers(n.config.Node, n.control.View, n.relay, desk, n.ring, n.stats)
+	n.publishStats()
+}
+
+func (n *Node) publishStats() {
+	n.stats.Gauge("messages-dropped-total", func() any { return n.relay.Dropped() })
+	n.stats.Gauge("answers-resumed-total", func() any { return n.relay.Resumed() })
+	n.stats.Gauge("outcomes-unrecorded", func() any { return n.ledger.Unrecorded() })
+	n.stats.Gauge("document-version", func() any { return n.control.View().Version() })
+	n.stats.Gauge("nodes-alive", func() any { return len(n.swim.Alive()) })
+	n.stats.Gauge("requests-quarantined", func() any { return len(n.crashes.List()) })
+	n.stats.Gauge("peer-bytes-in-total", func() any { in, _ := n.peer.Bytes(); return in })
+	n.stats.Gauge("peer-bytes-out-total", func() any { _, out := n.peer.Bytes(); return out })
+	n.stats.Gauge("chain-steps-total", func() any { return n.chain.Counters().Steps.Load() })
+	n.stats.Gauge("chain-epochs-total", func() any { return n.chain.Counters().Epochs.Load() })
+	n.stats.Gauge("chain-replays-total", func() any { return n.chain.Counters().Replays.Load() })
+	n.stats.Gauge("chain-prefills-total", func() any { return n.chain.Counters().Prefills.Load() })
+}
+
+// spread tells the other nodes of a crash at once.
+func (n *Node) spread(m crash.Mark) {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return
+	}
+	n.swim.Publish(member.Fact{
+		Kind: crashFact, Key: string(m.Fingerprint) + "/" + m.Upstream, Version: m.Stamp,
+		Value: raw, Remaining: uint32(quarantineTime / time.Second),
+	})
+	n.peer.Push()
+}
+
+// Run serves until the context ends, then stops gracefully: not ready first, then no new connections,
+// then the end of what is under way. Its error is the first fault of any part.
+func (n *Node) Run(ctx context.Context) error {
+	inner := n.life
+	defer n.endLife()
+	parts := []<-chan error{
+		n.control.Run(inner),
+		n.peer.Serve(inner, n.peersListener),
+		n.peer.Run(inner),
+		n.watchList(inner),
+		n.watchDocument(inner),
+		n.watchReports(inner),
+	}
+	handler, err := n.callers.Handler()
+	if err != nil {
+		return err
+	}
+	adminHandler, err := n.adminHandler()
+	if err != nil {
+		return err
+	}
+	callers := httpServer(handler)
+	admin := httpServer(adminHandler)
+	parts = append(parts, serveHTTP(callers, n.callersListener), serveHTTP(admin, n.adminListener))
+	n.log.Info("node-started", "callers", n.CallersAddress(), "peers", n.PeersAddress(), "admin", n.AdminAddress())
+	ended := gather(parts)
+	left := len(parts)
+	var fault error
+	select {
+	case fault = <-ended:
+		left--
+	case <-ctx.Done():
+	}
+	fault = errors.Join(fault, n.stop(callers, admin))
+	n.endLife()
+	for range left {
+		fault = errors.Join(fault, <-ended)
+	}
+	n.log.Info("node-stopped", "unrecorded", n.ledger.Unrecorded())
+	return fault
+}
+
+// gather joins the ends of all parts into one channel.
+func gather(parts []<-chan error) <-chan error {
+	ended := make(chan error, len(parts))
+	for _, part := range parts {
+		go func() { ended <- <-part }()
+	}
+	return ended
+}
+
+func httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       2 * readTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+}
+
+func serveHTTP(s *http.Server, l net.Listener) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		ended <- err
+	}()
+	return ended
+}
+
+func (n *Node) stop(callers, admin *http.Server) error {
+	n.log.Info("node-stopping", "in-flight", n.callers.InFlight())
+	n.callers.Stop()
+	time.Sleep(balancerNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	err = errors.Join(err, n.ledger.Close(ctx))
+	n.swim.Leave()
+	n.peer.Push()
+	time.Sleep(leaveTime)
+	return errors.Join(err, admin.Close())
+}
+
+// leaveTime lets the word of the node's leaving go out.
+const leaveTime = 100 * time.Millisecond
--- /dev/null
+++ b/io/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon puts a node together: control state, traffic, peers, platform, callers and operators.
+package daemon
--- /dev/null
+++ b/io/daemon/watch.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"rhubarbspread/core/conf"
+	"rhubarbspread/core/crash"
+	"rhubarbspread/core/event"
+	"rhubarbspread/core/kern"
+	"rhubarbspread/core/member"
+	"rhubarbspread/core/route"
+	"rhubarbspread/core/store"
+)
+
+// Kinds of facts.
+const (
+	crashFact    = "crash"
+	drainFact    = "drain"
+	documentFact = "document"
+)
+
+// Constants of what is asked regularly.
+const (
+	listPeriod     = time.Second
+	documentPeriod = 2 * time.Second
+	reportPeriod   = time.Second
+	askTime        = 2 * time.Second
+	reportTime     = 900 * time.Millisecond
+	reportWorkers  = 16
+)
+
+// every calls f once and then each period, with a jitter so that nodes do not ask in step.
+func every(ctx context.Context, period time.Duration, f func(context.Context)) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			f(ctx)
+			wait := time.Duration(float64(period) * (0.9 + 0.2*rand.Float64()))
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				ended <- nil
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+func (n *Node) watchList(ctx context.Context) <-chan error {
+	return every(ctx, listPeriod, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, askTime)
+		defer cancel()
+		machines, err := n.list.Machines(ctx)
+		if err != nil {
+			n.log.V(1).Info("list-failed", "error", err.Error())
+			return
+		}
+		n.seed(machines)
+		_ = n.control.Send(ctx, kern.NewMachines{Machines: machines})
+	})
+}
+
+func (n *Node) seed(machines []store.Machine) {
+	var nodes []member.Node
+	for _, m := range machines {
+		if m.Kind == kern.EntryKind && !m.Leaving {
+			nodes = append(nodes, member.Node{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre})
+		}
+	}
+	n.swim.Seed(nodes)
+}
+
+// watchDocument asks the platform for the environment's version; peers tell of it too, and sooner.
+func (n *Node) watchDocument(ctx context.Context) <-chan error {
+	asked := every(ctx, documentPeriod, n.askDocument)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			select {
+			case <-n.wake:
+				adoptCtx, cancel := context.WithTimeout(ctx, askTime)
+				n.adopt(adoptCtx)
+				cancel()
+			case err := <-asked:
+				ended <- err
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+// askDocument asks the platform; a version whose body could not be had before is tried again.
+func (n *Node) askDocument(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	if rel, err := n.registry.Current(ctx, n.config.Environment); err == nil {
+		n.tellRelease(rel)
+	} else {
+		n.log.V(1).Info("document-failed", "error", err.Error())
+	}
+	n.adopt(ctx)
+}
+
+// tellRelease makes a release a fact, which wins only over an older one.
+func (n *Node) tellRelease(rel conf.Release) {
+	if rel.Version == 0 {
+		return
+	}
+	raw, err := json.Marshal(rel)
+	if err != nil {
+		return
+	}
+	if n.swim.Publish(member.Fact{Kind: documentFact, Key: n.config.Environment, Version: rel.Version, Value: raw}) {
+		n.peer.Push()
+	}
+}
+
+// adopt puts the highest version known in force, with the body from the object store or from a peer.
+func (n *Node) adopt(ctx context.Context) {
+	f, ok := n.swim.Fact(documentFact, n.config.Environment)
+	if !ok || f.Version <= n.control.View().Version() {
+		return
+	}
+	var rel conf.Release
+	if json.Unmarshal(f.Value, &rel) != nil || rel.Version != f.Version {
+		return
+	}
+	d, err := n.registry.Body(ctx, rel.Digest)
+	if err != nil {
+		d, err = n.bodyFromPeers(ctx, rel.Digest)
+	}
+	if err != nil {
+		n.log.Info("document-unreadable", "version", rel.Version, "error", err.Error())
+		return
+	}
+	_ = n.control.Send(ctx, kern.NewDocument{Version: rel.Version, Document: d})
+}
+
+func (n *Node) bodyFromPeers(ctx context.Context, digest string) (*conf.Document, error) {
+	raw, err := n.peer.Body(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	if conf.Digest(raw) != digest {
+		return nil, &mismatchError{digest}
+	}
+	return conf.Decode(raw)
+}
+
+// mismatchError is a peer's document that is not the one asked for.
+type mismatchError struct{ digest string }
+
+func (e *mismatchError) Error() string { return "a peer sent another document than " + e.digest }
+
+// watchReports asks every upstream that the node uses for its load.
+func (n *Node) watchReports(ctx context.Context) <-chan error {
+	return every(ctx, reportPeriod, func(ctx context.Context) {
+		upstreams := make(chan *route.Upstream)
+		var workers sync.WaitGroup
+		for range reportWorkers {
+			workers.Go(func() {
+				for u := range upstreams {
+					n.askReport(ctx, u)
+				}
+			})
+		}
+		for _, u := range n.control.View().Upstreams() {
+			upstreams <- u
+		}
+		close(upstreams)
+		workers.Wait()
+	})
+}
+
+func (n *Node) askReport(ctx context.Context, u *route.Upstream) {
+	askCtx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	report, link, err := n.engines.Load(askCtx, u)
+	_ = n.control.Send(ctx, kern.NewReport{Upstream: u.Name(), Report: report, Link: link, Failed: err != nil})
+}
+
+// onFact takes over a fact that is new here. It is called under the lock of the membership.
+func (n *Node) onFact(f member.Fact) {
+	switch f.Kind {
+	case crashFact:
+		var m crash.Mark
+		if json.Unmarshal(f.Value, &m) == nil {
+			n.crashes.Learn(m)
+		}
+	case drainFact:
+		_ = n.control.Send(n.life, kern.NewDrain{Name: f.Key, Drain: string(f.Value) == drainOn})
+	case documentFact:
+		select {
+		case n.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// onNodes tells the control state who is alive. It is called under the lock of the membership.
+func (n *Node) onNodes(nodes []member.Node) {
+	names := make([]string, len(nodes))
+	for i, node := range nodes {
+		names[i] = node.Name
+	}
+	n.ring.Add(event.Event{Kind: "nodes", Note: joinNames(names)})
+	_ = n.control.Send(n.life, kern.NewNodes{Names: names})
+}
+
+// onView puts the limits of a new document in force. It is called by the control goroutine.
+func (n *Node) onView(v *kern.View) {
+	n.chain.SetModels(stagesOf(v))
+	if v.Version() == n.inForce {
+		return
+	}
+	n.inForce = v.Version()
+	l := v.Document().Limits()
+	n.relay.SetProgress(l.Progress())
+	n.chain.SetStepTime(l.Progress())
+	n.budget.SetShare(l.RetryShare())
+	n.crashes.SetQuarantine(l.Quarantine())
+	n.ledger.SetStoredBytes(l.StoredBytes())
+	n.log.Info("document-in-force", "version", v.Version(), "digest", v.Document().Digest()[:12])
+	n.ring.Add(event.Event{Kind: "document", Note: v.Document().Digest()})
+}
--- /dev/null
+++ b/io/list/doc.go
@@ -0,0 +1,2 @@
+// Package list reaches the platform's lagging list of VMs over HTTP.
+package list
--- /dev/null
+++ b/io/list/list.go
@@ -0,0 +1,54 @@
+package list
+
+import (
+	"context"
+	"net/http"
+
+	"rhubarbspread/core/kern"
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/dial"
+)
+
+// Doc describes the adapter.
+var Doc = kern.Doc{
+	Name:     "http-list",
+	Kind:     kern.StoreKind,
+	Title:    "List of VMs over HTTP",
+	Text:     `The platform's list of live and leaving VMs, which lags.`,
+	Settings: []string{"-list IP:PORT"},
+	Since:    "0.1",
+}
+
+func init() {
+	kern.Register(kern.Plugin{Doc: Doc, New: func(address string) store.List { return New(address) }})
+}
+
+// Client is a store.List.
+type Client struct{ host *dial.Host }
+
+// New returns a client of the list at an IP:port.
+func New(address string) *Client { return &Client{host: dial.NewHost("list", address)} }
+
+// Machines returns all VMs.
+func (c *Client) Machines(ctx context.Context) ([]store.Machine, error) {
+	var out struct {
+		Machines []struct {
+			Name       string `json:"name"`
+			Address    string `json:"address"`
+			DataCentre string `json:"data-centre"`
+			Kind       string `json:"kind"`
+			Serves     string `json:"serves"`
+			FirstLayer int    `json:"first-layer"`
+			LastLayer  int    `json:"last-layer"`
+			Leaving    bool   `json:"leaving"`
+		} `json:"machines"`
+	}
+	if _, err := c.host.JSON(ctx, false, http.MethodGet, "/v1/machines", nil, &out); err != nil {
+		return nil, store.NewError(store.Uncertain, err.Error())
+	}
+	machines := make([]store.Machine, len(out.Machines))
+	for i, m := range out.Machines {
+		machines[i] = store.Machine(m)
+	}
+	return machines, nil
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,66 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// New returns a logger of key=value lines; verbose ones are written from V(1) on.
+func New(w io.Writer, verbose bool) logr.Logger {
+	level := slog.LevelInfo
+	if verbose {
+		level = slog.LevelDebug
+	}
+	h := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: rename})
+	return logr.FromSlogHandler(h)
+}
+
+// rename makes the message the event, as the time line calls it.
+func rename(groups []string, a slog.Attr) slog.Attr {
+	if len(groups) == 0 && a.Key == slog.MessageKey {
+		a.Key = "event"
+	}
+	return a
+}
+
+// TakeOver sends the logs of go-zero through a logger.
+func TakeOver(l logr.Logger) {
+	logx.SetWriter(&writer{l})
+	logx.DisableStat()
+}
+
+// writer is a logx.Writer.
+type writer struct{ log logr.Logger }
+
+// Alert logs an alert.
+func (w *writer) Alert(v any) { w.log.Error(nil, "library-alert", "text", fmt.Sprint(v)) }
+
+// Close does nothing.
+func (w *writer) Close() error { return nil }
+
+// Debug logs at V(1).
+func (w *writer) Debug(v any, _ ...logx.LogField) { w.log.V(1).Info("library", "text", fmt.Sprint(v)) }
+
+// Error logs an error.
+func (w *writer) Error(v any, _ ...logx.LogField) {
+	w.log.Error(nil, "library-error", "text", fmt.Sprint(v))
+}
+
+// Info logs at V(1): the libraries' information is detail here.
+func (w *writer) Info(v any, _ ...logx.LogField) { w.log.V(1).Info("library", "text", fmt.Sprint(v)) }
+
+// Severe logs an error.
+func (w *writer) Severe(v any) { w.log.Error(nil, "library-severe", "text", fmt.Sprint(v)) }
+
+// Slow logs at V(1).
+func (w *writer) Slow(v any, _ ...logx.LogField) { w.log.V(1).Info("library", "text", fmt.Sprint(v)) }
+
+// Stack logs an error.
+func (w *writer) Stack(v any) { w.log.Error(nil, "library-stack", "text", fmt.Sprint(v)) }
+
+// Stat does nothing: figures are expvar's.
+func (w *writer) Stat(any, ...logx.LogField) {}
--- /dev/null
+++ b/io/model/doc.go
@@ -0,0 +1,2 @@
+// Package model reaches model engines over HTTP; it decides nothing.
+package model
--- /dev/null
+++ b/io/model/model.go
@@ -0,0 +1,168 @@
+package model
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"rhubarbspread/core/relay"
+	"rhubarbspread/core/reply"
+	"rhubarbspread/core/route"
+	"rhubarbspread/io/dial"
+)
+
+// maxLineBytes bounds one message of a stream.
+const maxLineBytes = 1 << 20
+
+// Client reaches engines by the addresses of their upstreams.
+type Client struct{ book *dial.Book }
+
+// New returns a client.
+func New(book *dial.Book) *Client { return &Client{book: book} }
+
+func (c *Client) host(u *route.Upstream) *dial.Host { return c.book.Host(u.Name(), u.Address()) }
+
+// Generate sends an attempt and hands each message to emit.
+func (c *Client) Generate(ctx context.Context, a *relay.Attempt, emit func(relay.Token) error) reply.Outcome {
+	body, err := json.Marshal(struct {
+		Attempt   string   `json:"attempt"`
+		Request   string   `json:"request"`
+		Model     string   `json:"model"`
+		Prompt    string   `json:"prompt"`
+		Accepted  []string `json:"accepted"`
+		MaxTokens int      `json:"max-tokens"`
+		Priority  int      `json:"priority"`
+	}{a.ID(), a.Request(), a.Model(), a.Prompt(), a.Accepted(), a.MaxTokens(), a.Priority()})
+	if err != nil {
+		return reply.NewNotSent(err.Error())
+	}
+	h := c.host(a.Upstream())
+	r, err := h.Request(ctx, http.MethodPost, "/v1/generate", body)
+	if err != nil {
+		return reply.NewNotSent(err.Error())
+	}
+	resp, err := h.Do(r)
+	if err != nil {
+		return OutcomeOf(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	return readStream(ctx, resp.Body, emit)
+}
+
+// OutcomeOf turns a failed exchange into an outcome.
+func OutcomeOf(ctx context.Context, err error) reply.Outcome {
+	var e *dial.Error
+	switch {
+	case errors.As(err, &e) && !e.Sent():
+		return reply.NewNotSent(e.Error())
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return reply.NewUnknown(reply.Silent, "no answer in time")
+	case ctx.Err() != nil:
+		return reply.NewUnknown(reply.Canceled, "canceled")
+	}
+	return reply.NewUnknown(reply.Broken, err.Error())
+}
+
+// refusal takes an engine's word that it did not run a request; any other error may have run it.
+func refusal(resp *http.Response) reply.Outcome {
+	var body struct {
+		RunState string `json:"run-state"`
+		Detail   string `json:"detail"`
+	}
+	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes))
+	_ = json.Unmarshal(raw, &body)
+	if body.RunState == string(reply.NotRun) {
+		return reply.NewRefused(resp.StatusCode, body.Detail, 0)
+	}
+	return reply.NewUnknown(reply.Failed, fmt.Sprintf("status %d", resp.StatusCode))
+}
+
+func readStream(ctx context.Context, body io.Reader, emit func(relay.Token) error) reply.Outcome {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	for lines.Scan() {
+		token, ok, err := ParseLine(lines.Bytes())
+		if err != nil {
+			return reply.NewUnknown(reply.Broken, err.Error())
+		}
+		if !ok {
+			continue
+		}
+		if err := emit(token); err != nil {
+			return reply.NewUnknown(reply.Canceled, err.Error())
+		}
+		if token.Last {
+			return reply.Done{}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return OutcomeOf(ctx, &streamError{err})
+	}
+	return reply.NewUnknown(reply.Broken, "the stream ended without its last message")
+}
+
+// streamError is a failure behind the head of an answer, so that something was sent in any case.
+type streamError struct{ err error }
+
+func (e *streamError) Error() string { return e.err.Error() }
+
+// ParseLine reads one line of a stream; ok is false for a line that holds no message.
+func ParseLine(line []byte) (t relay.Token, ok bool, err error) {
+	data, found := strings.CutPrefix(string(line), "data: ")
+	if !found {
+		return t, false, nil
+	}
+	var m struct {
+		Attempt  string `json:"attempt"`
+		Position int    `json:"position"`
+		Text     string `json:"text"`
+		Last     bool   `json:"last"`
+		Reason   string `json:"reason"`
+	}
+	if err := json.Unmarshal([]byte(data), &m); err != nil {
+		return t, false, fmt.Errorf("model: a message that is no JSON: %w", err)
+	}
+	if m.Position < 0 {
+		return t, false, fmt.Errorf("model: position %d", m.Position)
+	}
+	return relay.Token{Attempt: m.Attempt, Position: m.Position, Text: m.Text, Last: m.Last, Reason: m.Reason}, true, nil
+}
+
+// Probe asks over a new connection how far an attempt is.
+func (c *Client) Probe(ctx context.Context, u *route.Upstream, attempt string) (relay.Progress, error) {
+	var p struct {
+		Known    bool `json:"known"`
+		Queued   bool `json:"queued"`
+		Position int  `json:"position"`
+	}
+	_, err := c.host(u).JSON(ctx, true, http.MethodGet, "/v1/attempts/"+url.PathEscape(attempt), nil, &p)
+	return relay.Progress{Known: p.Known, Queued: p.Queued, Position: p.Position}, err
+}
+
+// Drop leaves the open connections to an upstream.
+func (c *Client) Drop(u *route.Upstream) { c.host(u).Drop() }
+
+// Load asks an upstream of any kind for its load and returns the round trip that it took.
+func (c *Client) Load(ctx context.Context, u *route.Upstream) (route.Report, time.Duration, error) {
+	var l struct {
+		Slots   int     `json:"slots"`
+		Running int     `json:"running"`
+		Queued  int     `json:"queued"`
+		Rate    float64 `json:"tokens-per-second"`
+		Leaving bool    `json:"leaving"`
+	}
+	start := time.Now()
+	_, err := c.host(u).JSON(ctx, false, http.MethodGet, "/v1/load", nil, &l)
+	report := route.Report{Slots: l.Slots, Running: l.Running, Queued: l.Queued, Rate: l.Rate, Leaving: l.Leaving}
+	return report, time.Since(start), err
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"rhubarbspread/core/event"
+	"rhubarbspread/io/peer/wire"
+)
+
+// server answers other nodes.
+type server struct {
+	wire.DRPCPeerUnimplementedServer
+	peer *Peer
+}
+
+// Exchange trades news; to one that sends all it knows, all is sent back.
+func (s *server) Exchange(_ context.Context, in *wire.Packet) (*wire.Packet, error) {
+	p := s.peer
+	p.take(in)
+	stamp := uint64(p.clock.Next())
+	if in.GetWhole() {
+		return toWire(p.swim.WholePacket(stamp)), nil
+	}
+	return toWire(p.swim.Packet(stamp)), nil
+}
+
+// Probe reaches a node on another's behalf.
+func (s *server) Probe(ctx context.Context, in *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	s.peer.clock.Saw(event.Stamp(in.GetStamp()))
+	return &wire.ProbeReply{Reached: s.peer.exchange(ctx, in.GetAddress()) == nil}, nil
+}
+
+// Fate tells what this node knows of a token of its own.
+func (s *server) Fate(_ context.Context, in *wire.FateRequest) (*wire.FateReply, error) {
+	s.peer.clock.Saw(event.Stamp(in.GetStamp()))
+	fate, response := s.peer.fates(in.GetToken())
+	out := &wire.FateReply{Fate: string(fate), Stamp: uint64(s.peer.clock.Next())}
+	if response == nil {
+		return out, nil
+	}
+	raw, err := json.Marshal(response)
+	out.Response = raw
+	return out, err
+}
+
+// Body gives the document of a digest.
+func (s *server) Body(_ context.Context, in *wire.BodyRequest) (*wire.BodyReply, error) {
+	return &wire.BodyReply{Body: s.peer.bodies(in.GetDigest())}, nil
+}
+
+// countedListener counts the bytes of the connections it accepts.
+type countedListener struct {
+	net.Listener
+	peer *Peer
+}
+
+// Accept returns the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, l.peer}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	peer *Peer
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.peer.bytesIn.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.peer.bytesOut.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/io/plain/doc.go
@@ -0,0 +1,2 @@
+// Package plain reaches plain services over HTTP; it decides nothing.
+package plain
--- /dev/null
+++ b/io/plain/plain.go
@@ -0,0 +1,95 @@
+package plain
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rhubarbspread/core/call"
+	"rhubarbspread/core/once"
+	"rhubarbspread/core/reply"
+	"rhubarbspread/core/route"
+	"rhubarbspread/io/dial"
+	"rhubarbspread/io/model"
+)
+
+// Headers between the system and a plain service.
+const (
+	AttemptHeader  = "Rhubarbspread-Attempt"   // sent, and echoed by the service
+	RunStateHeader = "Rhubarbspread-Run-State" // not-run in a refusal that ran nothing
+	KeyHeader      = "Idempotency-Key"
+)
+
+// maxAnswerBytes bounds a service's answer.
+const maxAnswerBytes = 8 << 20
+
+// Client reaches services by the addresses of their upstreams.
+type Client struct{ book *dial.Book }
+
+// New returns a client.
+func New(book *dial.Book) *Client { return &Client{book: book} }
+
+// Send sends one attempt. A call that may not be repeated goes over a connection of its own.
+func (c *Client) Send(ctx context.Context, u *route.Upstream, attempt string, q *call.Request) (*once.Response, reply.Outcome) {
+	h := c.book.Host(u.Name(), u.Address())
+	path := q.Path
+	if q.Query != "" {
+		path += "?" + q.Query
+	}
+	r, err := h.Request(ctx, q.Method, path, q.Body)
+	if err != nil {
+		return nil, reply.NewNotSent(err.Error())
+	}
+	if q.ContentType != "" {
+		r.Header.Set("Content-Type", q.ContentType)
+	}
+	r.Header.Set(AttemptHeader, attempt)
+	send := h.Do
+	if !q.Idempotent {
+		r.Header.Set(KeyHeader, q.Key)
+		send = h.DoFresh
+	}
+	resp, err := send(r)
+	if err != nil {
+		return nil, model.OutcomeOf(ctx, err)
+	}
+	defer resp.Body.Close()
+	return read(ctx, resp, attempt)
+}
+
+// read checks that the answer is whole and belongs to the attempt.
+func read(ctx context.Context, resp *http.Response, attempt string) (*once.Response, reply.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, reply.NewUnknown(reply.Silent, "no whole answer in time")
+		}
+		return nil, reply.NewUnknown(reply.Broken, err.Error())
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, reply.NewUnknown(reply.Failed, fmt.Sprintf("the answer is longer than %d bytes", maxAnswerBytes))
+	}
+	if echo := resp.Header.Get(AttemptHeader); echo != attempt {
+		return nil, reply.NewUnknown(reply.Failed, "the answer belongs to another attempt")
+	}
+	if resp.Header.Get(RunStateHeader) == string(reply.NotRun) && resp.StatusCode >= http.StatusInternalServerError {
+		return nil, reply.NewRefused(resp.StatusCode, "the service refused", retryAfter(resp))
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return nil, reply.NewUnknown(reply.Failed, fmt.Sprintf("status %d", resp.StatusCode))
+	}
+	return &once.Response{
+		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
+	}, reply.Done{}
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/io/serve/callers.go
@@ -0,0 +1,310 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"rhubarbspread/core/call"
+	"rhubarbspread/core/conf"
+	"rhubarbspread/core/event"
+	"rhubarbspread/core/kern"
+	"rhubarbspread/core/relay"
+	"rhubarbspread/core/reply"
+	"rhubarbspread/io/stats"
+
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// Constants of the callers' interface.
+const (
+	maxConns      = 20_000
+	maxPathParts  = 10 // segments of a path behind a service's name
+	absoluteBody  = 64 << 20
+	writeTimeout  = 30 * time.Second
+	notReadyRetry = time.Second
+)
+
+// Callers is the callers' interface of one node.
+type Callers struct {
+	view     func() *kern.View
+	relay    *relay.Relay
+	desk     *call.Desk
+	ring     *event.Ring
+	node     string
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	requests, refusals, broken *counter
+	first, between, whole      *stats.Histogram
+}
+
+type counter struct{ add func() }
+
+// NewCallers returns the interface; its figures go to a set.
+func NewCallers(node string, view func() *kern.View, r *relay.Relay, d *call.Desk, ring *event.Ring, s *stats.Set) *Callers {
+	count := func(name string) *counter {
+		v := s.Counter(name)
+		return &counter{add: func() { v.Add(1) }}
+	}
+	c := &Callers{
+		view: view, relay: r, desk: d, ring: ring, node: node,
+		requests: count("requests-total"),
+		refusals: count("refusals-total"),
+		broken:   count("streams-broken-total"),
+		first:    s.Histogram("time-to-first-token-us"),
+		between:  s.Histogram("time-between-tokens-us"),
+		whole:    s.Histogram("time-to-whole-answer-us"),
+	}
+	s.Gauge("requests-in-flight", func() any { return c.inFlight.Load() })
+	return c
+}
+
+// Stop makes the node not ready, so that the balancer sends new work elsewhere.
+func (c *Callers) Stop() { c.stopping.Store(true) }
+
+// InFlight returns the number of requests under way.
+func (c *Callers) InFlight() int64 { return c.inFlight.Load() }
+
+// Handler returns the routes.
+func (c *Callers) Handler() (http.Handler, error) {
+	server, err := newRest()
+	if err != nil {
+		return nil, err
+	}
+	server.AddRoutes([]rest.Route{
+		{Method: http.MethodPost, Path: "/v1/completions", Handler: c.complete(false)},
+		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: c.complete(true)},
+	}, rest.WithSSE())
+	server.AddRoutes([]rest.Route{
+		{Method: http.MethodGet, Path: "/v1/models", Handler: c.models},
+		{Method: http.MethodGet, Path: "/healthz", Handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }},
+		{Method: http.MethodGet, Path: "/readyz", Handler: c.ready},
+	})
+	server.AddRoutes(serviceRoutes(c.service))
+	return wrap(server)
+}
+
+// serviceRoutes lists a route for each method and depth: the library's router has no wild card for the
+// rest of a path.
+func serviceRoutes(h http.HandlerFunc) []rest.Route {
+	var routes []rest.Route
+	methods := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+	for _, method := range methods {
+		path := "/v1/services/:service"
+		routes = append(routes, rest.Route{Method: method, Path: path, Handler: h})
+		for i := range maxPathParts {
+			path += fmt.Sprintf("/:part%d", i)
+			routes = append(routes, rest.Route{Method: method, Path: path, Handler: h})
+		}
+	}
+	return routes
+}
+
+func newRest() (*rest.Server, error) {
+	settings := rest.RestConf{Host: "127.0.0.1", MaxConns: maxConns, MaxBytes: absoluteBody}
+	settings.Middlewares.MaxConns = true
+	settings.Middlewares.Recover = true
+	return rest.NewServer(settings, rest.WithNotFoundHandler(http.HandlerFunc(notFound)))
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeRefusal(w, reply.NewRefusal(http.StatusNotFound, "no-route", "there is nothing at "+r.URL.Path))
+}
+
+func wrap(server *rest.Server) (http.Handler, error) {
+	s, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, err
+	}
+	return http.HandlerFunc(s.Serve), nil
+}
+
+func (c *Callers) ready(w http.ResponseWriter, _ *http.Request) {
+	if c.stopping.Load() || !c.view().Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// enter authenticates a caller against the present view.
+func (c *Callers) enter(r *http.Request) (*kern.View, *conf.Team, *reply.Refusal) {
+	c.requests.add()
+	v := c.view()
+	if !v.Ready() {
+		return nil, nil, reply.NewRefusal(http.StatusServiceUnavailable, "not-ready", "the node has no document yet", reply.WithRetryAfter(notReadyRetry))
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, nil, reply.NewRefusal(http.StatusUnauthorized, "no-key", "a bearer key is needed")
+	}
+	team := v.Keyring().Team(key)
+	if team == nil {
+		return nil, nil, reply.NewRefusal(http.StatusUnauthorized, "wrong-key", "no team has this key")
+	}
+	return v, team, nil
+}
+
+// readBody reads a body up to the document's bound.
+func readBody(w http.ResponseWriter, r *http.Request, bound int64) ([]byte, *reply.Refusal) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, reply.NewRefusal(http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("a body may have %d bytes", bound))
+	case err != nil:
+		return nil, badRequest("bad-body", err.Error())
+	}
+	return raw, nil
+}
+
+func (c *Callers) refuse(w http.ResponseWriter, r *reply.Refusal) {
+	c.refusals.add()
+	writeRefusal(w, r)
+}
+
+func (c *Callers) models(w http.ResponseWriter, r *http.Request) {
+	v, team, refusal := c.enter(r)
+	if refusal != nil {
+		c.refuse(w, refusal)
+		return
+	}
+	type entry struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	out := struct {
+		Object string  `json:"object"`
+		Data   []entry `json:"data"`
+	}{Object: "list", Data: []entry{}}
+	for _, name := range sortedModels(v.Document()) {
+		if team.MayUse(name) {
+			out.Data = append(out.Data, entry{ID: name, Object: "model"})
+		}
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (c *Callers) complete(chat bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set(requestHeader, id)
+		v, team, refusal := c.enter(r)
+		if refusal != nil {
+			c.refuse(w, refusal)
+			return
+		}
+		raw, refusal := readBody(w, r, v.Document().Limits().BodyBytes())
+		if refusal != nil {
+			c.refuse(w, refusal)
+			return
+		}
+		q, refusal := parseCompletion(raw, chat)
+		if refusal == nil {
+			refusal = mayComplete(v, team, q.model)
+		}
+		if refusal != nil {
+			c.refuse(w, refusal)
+			return
+		}
+		c.run(w, r, &job{id: id, chat: chat, view: v, team: team, want: q})
+	}
+}
+
+func mayComplete(v *kern.View, team *conf.Team, model string) *reply.Refusal {
+	if v.Document().Model(model) == nil || !team.MayUse(model) || v.Pool(model) == nil {
+		return reply.NewRefusal(http.StatusNotFound, "no-model", fmt.Sprintf("no model %q for this team", model))
+	}
+	return nil
+}
+
+// job is one completion under way.
+type job struct {
+	id   string
+	chat bool
+	view *kern.View
+	team *conf.Team
+	want *completion
+}
+
+func (c *Callers) run(w http.ResponseWriter, r *http.Request, j *job) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), j.view.Document().Limits().Deadline())
+	defer cancel()
+	c.ring.Add(event.Event{Kind: "arrived", Request: j.id, Team: j.team.Name(), Note: j.want.model})
+	sink := newSink(c, w, j)
+	q := relay.NewRequest(j.id, j.team.Name(), j.team.Weight(), j.want.model, j.want.prompt, j.want.maxTokens)
+	start := time.Now()
+	answer, err := c.relay.Run(ctx, j.view.Pool(j.want.model), q, sink)
+	c.whole.Add(time.Since(start))
+	if err != nil {
+		sink.fail(refusalOf(err))
+		return
+	}
+	c.ring.Add(event.Event{Kind: "answered", Request: j.id, Team: j.team.Name(), Note: fmt.Sprintf("tokens=%d attempts=%d", answer.Tokens(), answer.Attempts())})
+	sink.end(answer)
+}
+
+func (c *Callers) service(w http.ResponseWriter, r *http.Request) {
+	id := uuid.NewString()
+	w.Header().Set(requestHeader, id)
+	v, team, refusal := c.enter(r)
+	if refusal != nil {
+		c.refuse(w, refusal)
+		return
+	}
+	name, path := splitService(r.URL.EscapedPath())
+	service := v.Document().Service(name)
+	if service == nil || !team.MayUse(name) || v.Pool(name) == nil {
+		c.refuse(w, reply.NewRefusal(http.StatusNotFound, "no-service", fmt.Sprintf("no service %q for this team", name)))
+		return
+	}
+	raw, refusal := readBody(w, r, v.Document().Limits().BodyBytes())
+	if refusal != nil {
+		c.refuse(w, refusal)
+		return
+	}
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), v.Document().Limits().Deadline())
+	defer cancel()
+	q := &call.Request{
+		ID: id, Team: team.Name(), Weight: team.Weight(), Service: name, Method: r.Method, Path: path,
+		Query: r.URL.RawQuery, ContentType: r.Header.Get("Content-Type"), Body: raw,
+		Key: r.Header.Get("Idempotency-Key"), Idempotent: service.Idempotent(r.Method, path),
+	}
+	c.ring.Add(event.Event{Kind: "arrived", Request: id, Team: team.Name(), Note: name + path})
+	result, err := c.desk.Run(ctx, v.Pool(name), q)
+	if err != nil {
+		c.ring.Add(event.Event{Kind: "refused", Request: id, Team: team.Name(), Note: err.Error()})
+		c.refuse(w, refusalOf(err))
+		return
+	}
+	c.ring.Add(event.Event{Kind: "answered", Request: id, Team: team.Name()})
+	writeResult(w, result)
+}
+
+func splitService(escaped string) (name, path string) {
+	name, path, _ = strings.Cut(strings.TrimPrefix(escaped, "/v1/services/"), "/")
+	return name, "/" + path
+}
+
+func writeResult(w http.ResponseWriter, result *call.Result) {
+	response := result.Response()
+	if response.ContentType != "" {
+		w.Header().Set("Content-Type", response.ContentType)
+	}
+	if result.Replayed() {
+		w.Header().Set(replayedHeader, "true")
+	}
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+}
--- /dev/null
+++ b/io/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve is the HTTP interface to callers and to operators.
+package serve
--- /dev/null
+++ b/io/serve/parse.go
@@ -0,0 +1,78 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"rhubarbspread/core/reply"
+)
+
+// Bounds on a completion.
+const (
+	defaultTokens = 64
+	mostTokens    = 16384
+)
+
+// completion is a caller's wish, of either completions path.
+type completion struct {
+	model     string
+	prompt    string
+	maxTokens int
+	stream    bool
+}
+
+// parseCompletion reads the body of /v1/completions or, with chat set, of /v1/chat/completions. Members
+// that it does not know are let pass, for callers' libraries send many.
+func parseCompletion(raw []byte, chat bool) (*completion, *reply.Refusal) {
+	var body struct {
+		Model     string          `json:"model"`
+		Prompt    json.RawMessage `json:"prompt"`
+		MaxTokens *int            `json:"max_tokens"`
+		Stream    bool            `json:"stream"`
+		Messages  []struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"messages"`
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return nil, badRequest("bad-json", err.Error())
+	}
+	c := &completion{model: body.Model, maxTokens: defaultTokens, stream: body.Stream}
+	if body.MaxTokens != nil {
+		c.maxTokens = *body.MaxTokens
+	}
+	if c.maxTokens < 1 || c.maxTokens > mostTokens {
+		return nil, badRequest("bad-max-tokens", fmt.Sprintf("max_tokens has to be 1 to %d", mostTokens))
+	}
+	if body.Model == "" {
+		return nil, badRequest("no-model", "the member model is missing")
+	}
+	if !chat {
+		if err := json.Unmarshal(body.Prompt, &c.prompt); err != nil {
+			return nil, badRequest("bad-prompt", "the member prompt has to be one string")
+		}
+		return c, checkPrompt(c.prompt)
+	}
+	if len(body.Messages) == 0 {
+		return nil, badRequest("no-messages", "the member messages is missing or empty")
+	}
+	contents := make([]string, len(body.Messages))
+	for i, m := range body.Messages {
+		contents[i] = m.Content
+	}
+	c.prompt = strings.Join(contents, "\n")
+	return c, checkPrompt(c.prompt)
+}
+
+func checkPrompt(prompt string) *reply.Refusal {
+	if prompt == "" {
+		return badRequest("empty-prompt", "there is nothing to complete")
+	}
+	return nil
+}
+
+func badRequest(code, detail string) *reply.Refusal {
+	return reply.NewRefusal(http.StatusBadRequest, code, detail)
+}
--- /dev/null
+++ b/io/table/doc.go
@@ -0,0 +1,2 @@
+// Package table reaches the platform's table service over HTTP.
+package table
