Predict the queue's wait from what will pass a request, and borrow places only under a queue

Cause: at 95% demand first-token p95 was 745 ms, all of it queueing at engines (the node's own queue waited 0 ms at p95): windows borrowed whenever full, not only when somebody waited. At 120% refusals came up to 800 ms late and waits reached 1.2 s at a patience of 400 ms, for the prediction left out the requests of other teams that arrive later and pass by their share. Change: a window grows only if others waited at the grant; the prediction counts what other teams are likely to send, up to their share before this request's turn; a request once queued is not expired by its patience; ties go by deadline.

--- a/core/conf/decode.go
+++ b/core/conf/decode.go
@@ -66,7 +66,7 @@
 
 // Defaults of the limits that a document leaves out.
 const (
-	defaultPatience    = 2 * time.Second
+	defaultPatience    = 500 * time.Millisecond
 	defaultProgress    = 1 * time.Second
 	defaultDeadline    = 120 * time.Second
 	defaultRetryShare  = 0.1
--- a/core/limit/grant.go
+++ b/core/limit/grant.go
@@ -25,8 +25,9 @@
 	demand  Demand
 	at      time.Time
 	firstAt time.Time
-	wasFull bool
-	once    sync.Once
+	// keptWaiting says that others waited for a place at the time of the grant.
+	keptWaiting bool
+	once        sync.Once
 }
 
 // Upstream returns where the request may go.
@@ -37,7 +38,7 @@
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
 	g.firstAt = g.pool.now()
-	g.seat.sawFirst(g.firstAt.Sub(g.at), g.wasFull)
+	g.seat.sawFirst(g.firstAt.Sub(g.at), g.keptWaiting)
 	g.seat.succeeded()
 }
 
@@ -55,8 +56,7 @@
 		s.suspects++
 	}
 	s.prefixes.add(d.Prefix)
-	full := s.ours >= s.window() || p.queue.length > 0
-	return &Grant{pool: p, seat: s, demand: d, at: now, wasFull: full}
+	return &Grant{pool: p, seat: s, demand: d, at: now, keptWaiting: p.queue.length > 0}
 }
 
 func (p *Pool) giveBack(g *Grant) {
@@ -75,8 +75,7 @@
 	switch r {
 	case Completed:
 		s.succeeded()
-		p.decay(now)
-		p.drained += g.demand.Tokens
+		p.drained.add(g.demand.Tokens, now)
 		if !g.firstAt.IsZero() {
 			s.sawRate(tokens, now.Sub(g.firstAt))
 		}
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -13,8 +13,8 @@
 
 // Constants of admission.
 const (
-	defaultPatience = 400 * time.Millisecond
-	overrun         = 2                // how many times its patience a request may wait that was predicted to wait less
+	defaultPatience = 500 * time.Millisecond
+	longestWait     = 5 * time.Second  // of a request that was predicted to wait less than its patience
 	rateHorizon     = 2 * time.Second  // over which the rate of grants is measured
 	resumeWait      = 10 * time.Second // of an answer that a caller has part of
 	maxSeats        = 32               // upstreams of one target that a node uses
@@ -53,8 +53,7 @@
 	seats      []*seat
 	queue      *fairQueue
 	meanTokens float64
-	drained    float64 // tokens released, decayed over rateHorizon
-	drainedAt  time.Time
+	drained    decaying // tokens of requests that have ended
 	forgotAt   time.Time
 	candidates []route.Candidate
 	indexes    []int
@@ -93,7 +92,6 @@
 	for _, o := range opts {
 		o(p)
 	}
-	p.drainedAt = p.now()
 	p.forgotAt = p.now()
 	return p
 }
@@ -140,7 +138,7 @@
 	if d.Resume {
 		return resumeWait
 	}
-	return overrun * p.patienceOf(d)
+	return max(longestWait, p.patienceOf(d))
 }
 
 // enter grants at once, refuses at once or queues.
@@ -165,6 +163,7 @@
 		return nil, nil, &Error{cause: Overloaded, target: p.target, wait: wait, retryAfter: max(wait-patience, time.Second)}
 	}
 	w := &waiter{demand: d, deadline: now.Add(p.patienceOf(d)), granted: make(chan *Grant, 1)}
+	a.admitted.add(d.Tokens, now)
 	p.queue.push(a, w)
 	return w, nil, nil
 }
@@ -185,6 +184,7 @@
 	if s == nil {
 		return nil
 	}
+	a.admitted.add(d.Tokens, now)
 	p.queue.charge(a, d.Tokens)
 	return p.grant(s, d, now)
 }
@@ -210,10 +210,9 @@
 
 // predictWait returns how long the tokens ahead of a request keep the node's share of the upstreams busy.
 func (p *Pool) predictWait(a *account, d Demand, now time.Time) time.Duration {
-	p.decay(now)
-	measured := p.drained / rateHorizon.Seconds()
-	rate := max(measured, p.shareRate(now)/2, 1e-3)
-	return time.Duration(p.queue.ahead(a, d.Tokens) / rate * float64(time.Second))
+	rate := max(p.drained.perSecond(now), p.shareRate(now)/2, 1e-3)
+	ahead := p.queue.ahead(a, p.patienceOf(d), now)
+	return time.Duration(ahead / rate * float64(time.Second))
 }
 
 // shareRate returns the tokens/s of the node's windows if other nodes fill theirs.
@@ -228,15 +227,6 @@
 	return sum
 }
 
-func (p *Pool) decay(now time.Time) {
-	gone := now.Sub(p.drainedAt)
-	if gone <= 0 {
-		return
-	}
-	p.drained *= max(0, 1-gone.Seconds()/rateHorizon.Seconds())
-	p.drainedAt = now
-}
-
 func (p *Pool) forgetIdle(now time.Time) {
 	if now.Sub(p.forgotAt) < idleAccount {
 		return
--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -20,10 +20,14 @@
 func (l line) Len() int { return len(l) }
 
 func (l line) Less(i, j int) bool {
-	if l[i].deadline.Equal(l[j].deadline) {
-		return l[i].sequence < l[j].sequence
+	return earlier(l[i], l[j])
+}
+
+func earlier(a, b *waiter) bool {
+	if a.deadline.Equal(b.deadline) {
+		return a.sequence < b.sequence
 	}
-	return l[i].deadline.Before(l[j].deadline)
+	return a.deadline.Before(b.deadline)
 }
 
 func (l line) Swap(i, j int) {
@@ -56,6 +60,8 @@
 	queued  float64 // tokens that wait
 	waiting line
 	used    time.Time
+	// admitted counts the tokens of requests let in, of which more are likely to come.
+	admitted decaying
 }
 
 // fairQueue shares grants over teams in proportion to their weights (start-time fair queueing).
@@ -104,15 +110,18 @@
 	q.length--
 }
 
-// ahead returns the tokens that would be granted before a request of a team: of every other team,
-// no more than its weight gives it while this team's own backlog is worked off.
-func (q *fairQueue) ahead(a *account, tokens float64) float64 {
-	own := a.queued + tokens
+// ahead returns the tokens that go before a request of a team: its own backlog, and of every other team
+// what waits or is likely to come within a time, but no more than that team's share gives it before
+// this request's turn.
+func (q *fairQueue) ahead(a *account, within time.Duration, now time.Time) float64 {
+	turn := a.virtual + a.queued/a.weight
 	sum := a.queued
-	for _, other := range q.accounts {
-		if other != a {
-			sum += min(other.queued, own*other.weight/a.weight)
+	for _, o := range q.accounts {
+		if o == a {
+			continue
 		}
+		share := (turn - max(o.virtual, q.virtual)) * o.weight
+		sum += max(0, min(o.queued+o.admitted.perSecond(now)*within.Seconds(), share))
 	}
 	return sum
 }
@@ -138,7 +147,7 @@
 	if a.virtual != b.virtual {
 		return a.virtual < b.virtual
 	}
-	return a.team < b.team
+	return earlier(a.waiting[0], b.waiting[0])
 }
 
 // forget drops the accounts of teams that are idle, which 2,800 teams would otherwise pile up.
@@ -149,3 +158,22 @@
 		}
 	}
 }
+
+// decaying is a sum that forgets over rateHorizon.
+type decaying struct {
+	sum float64
+	at  time.Time
+}
+
+func (d *decaying) perSecond(now time.Time) float64 {
+	if gone := now.Sub(d.at); gone > 0 {
+		d.sum *= max(0, 1-gone.Seconds()/rateHorizon.Seconds())
+		d.at = now
+	}
+	return d.sum / rateHorizon.Seconds()
+}
+
+func (d *decaying) add(amount float64, now time.Time) {
+	d.perSecond(now)
+	d.sum += amount
+}
--- a/core/limit/seat.go
+++ b/core/limit/seat.go
@@ -11,10 +11,11 @@
 
 // Constants of a window: how it borrows beyond the node's share and how it is cut back.
 const (
-	lowQueueing  = 30 * time.Millisecond // below it a full window grows
-	highQueueing = 150 * time.Millisecond
+	lowQueueing  = 30 * time.Millisecond // below it a window grows that kept the queue waiting
+	highQueueing = 100 * time.Millisecond
 	growStep     = 0.5
 	shrinkFactor = 0.7
+	spread       = 0.125 // places beyond an upstream's slots, for the spread of arrival times
 	forgetFactor = 1.002 // by which the least time to first token grows a sample, to follow a slower link
 	rateSamples  = 5     // answers after which the measured rate replaces the reported one
 	rateWeight   = 0.1
@@ -99,7 +100,7 @@
 	slots := s.slots()
 	service := meanTokens / s.streamRate()
 	travel := float64(slots) * s.link.Seconds() / math.Max(service, 1e-3)
-	return slots + int(math.Ceil(travel+float64(slots)/8))
+	return slots + int(math.Ceil(travel+float64(slots)*spread))
 }
 
 // setShare divides the places over the nodes; every node computes the same ranks, so the parts add up.
@@ -130,7 +131,7 @@
 }
 
 // sawFirst follows the time to first token: queueing at the upstream shows as its excess over the least seen.
-func (s *seat) sawFirst(d time.Duration, wasFull bool) {
+func (s *seat) sawFirst(d time.Duration, keptWaiting bool) {
 	if s.firstMin == 0 || d < s.firstMin {
 		s.firstMin = d
 	} else {
@@ -140,7 +141,7 @@
 	switch {
 	case queueing > highQueueing:
 		s.extra *= shrinkFactor
-	case queueing < lowQueueing && wasFull:
+	case queueing < lowQueueing && keptWaiting:
 		s.extra = min(s.extra+growStep, float64(s.slots()))
 	}
 }
