Resume sooner after silence and where first tokens come quickly

Change: probe at half the progress deadline; the wait that the latest first tokens showed counts in the score; urgent requests spread over what is nearly as good.

--- a/core/limit/choose.go
+++ b/core/limit/choose.go
@@ -69,7 +69,7 @@
 			p.candidates = p.candidates[:0]
 			p.indexes = p.indexes[:0]
 		}
-		p.candidates = append(p.candidates, s.candidate(d, i == favored))
+		p.candidates = append(p.candidates, s.candidate(d, i == favored, now))
 		p.indexes = append(p.indexes, i)
 	}
 }
@@ -103,18 +103,19 @@
 	return grade
 }
 
-func (s *seat) candidate(d Demand, favored bool) route.Candidate {
+func (s *seat) candidate(d Demand, favored bool, now time.Time) route.Candidate {
 	return route.Candidate{
-		Name:    s.upstream.Name(),
-		Ours:    s.ours,
-		Others:  s.others(),
-		Slots:   s.slots(),
-		Rate:    s.streamRate(),
-		Link:    s.link,
-		Home:    s.home,
-		Cached:  s.prefixes.has(d.Prefix),
-		Favored: favored,
-		Tie:     weigh(d.Key, s.hash),
+		Name:     s.upstream.Name(),
+		Ours:     s.ours,
+		Others:   s.others(),
+		Slots:    s.slots(),
+		Rate:     s.streamRate(),
+		Link:     s.link,
+		Home:     s.home,
+		Cached:   s.prefixes.has(d.Prefix),
+		Queueing: s.queueing(now),
+		Favored:  favored,
+		Tie:      weigh(d.Key, s.hash),
 	}
 }
 
--- a/core/limit/grant.go
+++ b/core/limit/grant.go
@@ -40,7 +40,7 @@
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
 	g.firstAt = g.pool.now()
-	g.seat.sawFirst(g.firstAt.Sub(g.at), g.keptWaiting)
+	g.seat.sawFirst(g.firstAt.Sub(g.at), g.keptWaiting, g.firstAt)
 	g.seat.succeeded()
 }
 
--- a/core/limit/seat.go
+++ b/core/limit/seat.go
@@ -16,6 +16,7 @@
 	highQueueing = 100 * time.Millisecond
 	growStep     = 0.5
 	shrinkFactor = 0.7
+	excessLife   = time.Second
 	spread       = 0.125 // places beyond an upstream's slots, for the spread of arrival times
 	forgetFactor = 1.002 // by which the least time to first token grows a sample, to follow a slower link
 	rateSamples  = 5     // answers after which the measured rate replaces the reported one
@@ -55,6 +56,8 @@
 	share    int     // this node's part of the upstream's places
 	extra    float64 // places borrowed from nodes that leave theirs empty
 	firstMin time.Duration
+	excess   time.Duration // of the latest time to first token over the least
+	excessAt time.Time
 
 	rate    float64 // tokens/s of one stream, measured
 	samples int
@@ -136,13 +139,14 @@
 }
 
 // sawFirst follows the time to first token: queueing at the upstream shows as its excess over the least seen.
-func (s *seat) sawFirst(d time.Duration, keptWaiting bool) {
+func (s *seat) sawFirst(d time.Duration, keptWaiting bool, now time.Time) {
 	if s.firstMin == 0 || d < s.firstMin {
 		s.firstMin = d
 	} else {
 		s.firstMin = time.Duration(float64(s.firstMin) * forgetFactor)
 	}
 	queueing := d - s.firstMin
+	s.excess, s.excessAt = queueing, now
 	switch {
 	case queueing > highQueueing:
 		s.extra *= shrinkFactor
@@ -151,6 +155,12 @@
 	}
 }
 
+// queueing returns the wait at the upstream that the latest first token showed, less the older it is.
+func (s *seat) queueing(now time.Time) time.Duration {
+	age := now.Sub(s.excessAt).Seconds() / excessLife.Seconds()
+	return time.Duration(float64(s.excess) * math.Max(0, 1-age))
+}
+
 func (s *seat) sawRate(tokens int, d time.Duration) {
 	if tokens < 2 || d <= 0 {
 		return
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -21,7 +21,7 @@
 const (
 	maxAttempts     = 8
 	probeTimeout    = 300 * time.Millisecond
-	slowChecks      = 5 // progress deadlines without a token after which a slow upstream counts as stuck
+	slowChecks      = 10 // probes without a token after which a slow upstream counts as stuck
 	tokenBuffer     = 64
 	suspectPause    = 250 * time.Millisecond // between the nodes' turns with a strong suspect
 	lastTurn        = 4
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -207,12 +207,9 @@
 	}
 }
 
-// quiet returns how long a stream may be silent before a probe: so long that the probe's answer, or its
-// missing one, is there at the progress deadline.
-func (r *Relay) quiet() time.Duration {
-	progress := time.Duration(r.progress.Load())
-	return max(progress-probeTimeout, progress/2)
-}
+// quiet returns how long a stream may be silent before a probe: half the progress deadline, so that the
+// probe's answer, or its missing one, is there well before it, and part of it is left for the resumption.
+func (r *Relay) quiet() time.Duration { return time.Duration(r.progress.Load()) / 2 }
 
 // silent asks over a new connection why no token comes. It returns nil where the upstream is only slow.
 func (s *stream) silent(ctx context.Context) (reply.Outcome, limit.Result) {
@@ -244,7 +241,7 @@
 }
 
 // arrivalGrace is how long a token may travel that the upstream had sent before it answered the probe.
-const arrivalGrace = 150 * time.Millisecond
+const arrivalGrace = 200 * time.Millisecond
 
 func (s *stream) stillArrives(ctx context.Context) bool {
 	grace := time.NewTimer(arrivalGrace)
--- a/core/route/finish/finish.go
+++ b/core/route/finish/finish.go
@@ -31,6 +31,10 @@
 // equalShare is how much later than the earliest a predicted finish may be and still count as equal.
 const equalShare = 0.03
 
+// urgentShare is the same for urgent requests: many come at once when an upstream is lost, from all nodes,
+// and must not all go where each node saw the least load.
+const urgentShare = 0.3
+
 // Choose returns the index of the upstream to take. Among equals the request's own hash decides: copies
 // of one request at several nodes meet at one upstream, and different requests spread.
 func (policy) Choose(q route.Query, candidates []route.Candidate, _ uint64) int {
@@ -38,9 +42,13 @@
 	for i := 1; i < len(candidates); i++ {
 		least = min(least, predict(q, &candidates[i]))
 	}
+	equal := equalShare
+	if q.Urgent {
+		equal = urgentShare
+	}
 	best := -1
 	for i := range candidates {
-		if predict(q, &candidates[i]) > least*(1+equalShare) {
+		if predict(q, &candidates[i]) > least*(1+equal) {
 			continue
 		}
 		if best < 0 || candidates[i].Tie > candidates[best].Tie {
@@ -66,7 +74,7 @@
 	case c.Favored:
 		prefill *= 1 - favor
 	}
-	start := c.Link.Seconds() + waiting*service/slots + prefill
+	start := c.Link.Seconds() + max(waiting*service/slots, c.Queueing.Seconds()) + prefill
 	if q.Urgent {
 		start *= urgency
 	}
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -67,16 +67,17 @@
 
 // Candidate is what a policy knows of one upstream at the moment of choice.
 type Candidate struct {
-	Name    string
-	Ours    int           // requests in flight from this node
-	Others  float64       // requests in flight from other nodes, by the late report
-	Slots   int           // requests that run at once
-	Rate    float64       // tokens a second of one slot
-	Link    time.Duration // round trip to the upstream
-	Home    bool          // the upstream is in this node's data centre
-	Cached  bool          // the prompt's prefix is likely in the upstream's cache
-	Tie     uint64        // decides among equals, the same way on every node
-	Favored bool          // the prefix maps to this upstream by rendezvous hashing
+	Name     string
+	Ours     int           // requests in flight from this node
+	Others   float64       // requests in flight from other nodes, by the late report
+	Slots    int           // requests that run at once
+	Rate     float64       // tokens a second of one slot
+	Link     time.Duration // round trip to the upstream
+	Home     bool          // the upstream is in this node's data centre
+	Cached   bool          // the prompt's prefix is likely in the upstream's cache
+	Queueing time.Duration // wait for a slot that the latest answers from it showed
+	Tie      uint64        // decides among equals, the same way on every node
+	Favored  bool          // the prefix maps to this upstream by rendezvous hashing
 }
 
 // Query is what a policy knows of the request.
--- a/io/trial/fleet_test.go
+++ b/io/trial/fleet_test.go
@@ -191,6 +191,8 @@
 	stalls   []time.Duration
 	byTeam   map[string][]time.Duration
 	details  map[string]int
+	worst    time.Duration // stall
+	story    []event.Event // of the answer with the worst stall
 }
 
 func newResult() *result {
@@ -249,6 +251,10 @@
 	for _, g := range rec.gaps {
 		longest = max(longest, g)
 	}
+	if longest > res.worst {
+		res.worst = longest
+		res.story = n.ring.Select(event.Filter{Request: id})
+	}
 	res.between = append(res.between, rec.gaps...)
 	res.stalls = append(res.stalls, longest)
 }
--- a/io/trial/recovery_test.go
+++ b/io/trial/recovery_test.go
@@ -81,6 +81,9 @@
 	}
 	if p99 > bound {
 		t.Errorf("a stall of %v at p99, wanted %v", p99, bound)
+		for _, e := range res.story {
+			t.Logf("%d %s %s %s", e.Stamp.Wall().UnixMilli(), e.Kind, e.Upstream, e.Note)
+		}
 	}
 }
 
