--- a/core/limit/choose.go
+++ b/core/limit/choose.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -47,7 +48,7 @@
 	p.indexes = p.indexes[:0]
 	favored := -1
 	if d.Prefix != 0 {
-		favored = p.mapped(d.Prefix, nil)
+		favored = p.favored(d.Prefix)
 	}
 	shunned := p.shunned(d)
 	// A resumed answer goes beyond the window: the upstream lets it pass those that wait.
@@ -135,6 +136,23 @@
 	return best
 }
 
+// favored returns the sound seat to which a prompt's beginning belongs: rendezvous hashing weighted by
+// capacity, so that the seat is one that the policy would often take anyway.
+func (p *Pool) favored(prefix uint64) int {
+	best := -1
+	most := 0.0
+	for i, s := range p.seats {
+		if !s.sound() {
+			continue
+		}
+		uniform := (float64(weigh(prefix, s.hash)>>11) + 0.5) / (1 << 53)
+		if w := float64(s.slots()) * s.streamRate() / -math.Log(uniform); best < 0 || w > most {
+			best, most = i, w
+		}
+	}
+	return best
+}
+
 func excluded(d Demand, s *seat) bool {
 	if d.Twin != "" && d.Twin != s.upstream.Name() {
 		return true
--- a/core/limit/grant.go
+++ b/core/limit/grant.go
@@ -22,6 +22,8 @@
 type Grant struct {
 	pool    *Pool
 	seat    *seat
+	account *account
+	cached  bool // the prompt's beginning was taken to be in the upstream's cache
 	demand  Demand
 	at      time.Time
 	firstAt time.Time
@@ -40,10 +42,18 @@
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
 	g.firstAt = g.pool.now()
-	g.seat.sawFirst(g.firstAt.Sub(g.at), g.keptWaiting, g.firstAt)
+	g.seat.sawFirst(g.firstAt.Sub(g.at)-g.reading(), g.keptWaiting, g.firstAt)
 	g.seat.succeeded()
 }
 
+// reading returns how long the upstream has likely read the prompt, which is no queueing.
+func (g *Grant) reading() time.Duration {
+	if g.cached {
+		return 0
+	}
+	return time.Duration(g.demand.Prefill / g.seat.streamRate() * float64(time.Second))
+}
+
 // Heard tells the pool that something came from the upstream. It takes no lock, for every token calls it.
 func (g *Grant) Heard() { g.seat.heard.Store(g.pool.now().UnixNano()) }
 
@@ -58,11 +68,13 @@
 	g.once.Do(func() { g.pool.release(g, r, tokens) })
 }
 
-func (p *Pool) grant(s *seat, d Demand, now time.Time) *Grant {
+func (p *Pool) grant(s *seat, a *account, d Demand, now time.Time) *Grant {
 	if s.ours == 0 {
 		s.heard.Store(now.UnixNano())
 	}
 	s.ours++
+	a.running++
+	p.running++
 	p.trials.earn(now)
 	if s.failures > 0 {
 		s.trial = true
@@ -71,13 +83,16 @@
 	if d.Suspect {
 		s.suspects++
 	}
+	cached := s.prefixes.has(d.Prefix)
 	s.prefixes.add(d.Prefix)
-	return &Grant{pool: p, seat: s, demand: d, at: now, trial: s.trial, keptWaiting: p.queue.length > 0,
+	return &Grant{pool: p, seat: s, account: a, cached: cached, demand: d, at: now, trial: s.trial, keptWaiting: p.queue.length > 0,
 		reached: !p.reports || now.Sub(s.reportAt) < freshReport}
 }
 
 func (p *Pool) giveBack(g *Grant) {
 	g.seat.ours--
+	g.account.running--
+	p.running--
 	if g.demand.Suspect {
 		g.seat.suspects--
 	}
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -60,6 +60,7 @@
 	drained    decaying // tokens of requests that have ended
 	forgotAt   time.Time
 	trials     trials
+	running    int  // requests in flight
 	reports    bool // upstreams of this target tell their load
 	centres    []centre
 	candidates []route.Candidate
@@ -191,7 +192,7 @@
 
 // tryDirect passes the queue only where nobody waits who could take the place.
 func (p *Pool) tryDirect(a *account, d Demand, now time.Time) *Grant {
-	if p.queue.length > 0 && !d.Resume {
+	if (p.queue.length > 0 && !d.Resume) || !p.mayTake(a) {
 		return nil
 	}
 	s := p.choose(d, now)
@@ -200,7 +201,7 @@
 	}
 	a.admitted.add(d.Tokens, now)
 	p.queue.charge(a, d.Tokens)
-	return p.grant(s, d, now)
+	return p.grant(s, a, d, now)
 }
 
 func (p *Pool) anyFit(now time.Time) bool {
@@ -272,7 +273,7 @@
 	for p.queue.length > 0 {
 		now := p.now()
 		var found *seat
-		a, w := p.queue.next(func(w *waiter) bool {
+		a, w := p.queue.next(p.mayTake, func(w *waiter) bool {
 			s := p.choose(w.demand, now)
 			if s != nil {
 				found = s
@@ -284,6 +285,6 @@
 		}
 		p.queue.remove(a, w)
 		p.queue.charge(a, w.demand.Tokens)
-		w.granted <- p.grant(found, w.demand, now)
+		w.granted <- p.grant(found, a, w.demand, now)
 	}
 }
--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -60,6 +60,7 @@
 	queued  float64 // tokens that wait
 	waiting line
 	used    time.Time
+	running int // requests of the team in flight from this node
 	// admitted counts the tokens of requests let in, of which more are likely to come.
 	admitted decaying
 }
@@ -126,12 +127,12 @@
 	return sum
 }
 
-// next returns the waiter to serve first among those that fits accepts, or nil.
-func (q *fairQueue) next(fits func(*waiter) bool) (*account, *waiter) {
+// next returns the waiter to serve first among those of teams that may take a place and that fit, or nil.
+func (q *fairQueue) next(may func(*account) bool, fits func(*waiter) bool) (*account, *waiter) {
 	var chosen *account
 	var first *waiter
 	for _, a := range q.accounts {
-		if len(a.waiting) == 0 || (chosen != nil && !before(a, chosen)) {
+		if len(a.waiting) == 0 || (chosen != nil && !before(a, chosen)) || !may(a) {
 			continue
 		}
 		if w := a.firstFit(fits); w != nil {
@@ -169,7 +170,7 @@
 // forget drops the accounts of teams that are idle, which 2,800 teams would otherwise pile up.
 func (q *fairQueue) forget(before time.Time) {
 	for team, a := range q.accounts {
-		if len(a.waiting) == 0 && a.used.Before(before) && a.virtual <= q.virtual {
+		if len(a.waiting) == 0 && a.running == 0 && a.used.Before(before) && a.virtual <= q.virtual {
 			delete(q.accounts, team)
 		}
 	}
--- a/core/limit/seat.go
+++ b/core/limit/seat.go
@@ -140,6 +140,7 @@
 
 // sawFirst follows the time to first token: queueing at the upstream shows as its excess over the least seen.
 func (s *seat) sawFirst(d time.Duration, keptWaiting bool, now time.Time) {
+	d = max(d, time.Millisecond)
 	if s.firstMin == 0 || d < s.firstMin {
 		s.firstMin = d
 	} else {
--- a/core/route/finish/finish.go
+++ b/core/route/finish/finish.go
@@ -21,7 +21,7 @@
 }
 
 // favor is the advantage, as a share of the prompt's reading time, of the upstream to which a prefix maps.
-const favor = 0.5
+const favor = 0.9
 
 type policy struct{}
 
