--- /dev/null
+++ b/core/conf/conf_test.go
@@ -0,0 +1,109 @@
+package conf_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"rhubarbspread/core/conf"
+	"rhubarbspread/io/fake"
+)
+
+func decode(tb testing.TB, text string) *conf.Document {
+	tb.Helper()
+	d, err := conf.Decode([]byte(text))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return d
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name":"a","models":[{"name":"m","layers":3}],"teams":[{"name":"t","models":["m"]}]}`))
+	f.Add([]byte(`{"name":"a","limits":{"patience-ms":-1}}`))
+	f.Add([]byte(`[1`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d, err := conf.Decode(raw)
+		if (d == nil) == (err == nil) {
+			t.Errorf("document %v, error %v", d, err)
+		}
+	})
+}
+
+func TestIdempotentByLongestPrefix(t *testing.T) {
+	d := decode(t, `{"name":"a","services":[{"name":"s","routes":[
+		{"method":"GET","prefix":"/status","idempotent":true},{"method":"GET","prefix":"/status/reset","idempotent":false}]}]}`)
+	for _, test := range []struct {
+		method, path string
+		want         bool
+	}{
+		{"GET", "/status", true}, {"GET", "/status/7", true}, {"GET", "/status-change", false},
+		{"GET", "/status/reset/1", false}, {"POST", "/status", false}, {"GET", "/other", false},
+	} {
+		if got := d.Service("s").Idempotent(test.method, test.path); got != test.want {
+			t.Errorf("%s %s: %v", test.method, test.path, got)
+		}
+	}
+}
+
+// TestPutSettlesLostAnswers makes a change under each fault of the table and looks whether what the
+// operator was told is so.
+func TestPutSettlesLostAnswers(t *testing.T) {
+	for _, test := range []struct {
+		fault string
+		kind  conf.ChangeKind
+		done  bool
+	}{
+		{fake.LoseReplies, -1, true}, {fake.LoseCalls, conf.InDoubt, false}, {fake.Down, conf.Unreachable, false}, {fake.LateWrites, -1, true},
+	} {
+		t.Run(test.fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := fake.NewTable()
+				r := conf.NewRegistry(table, table)
+				d := decode(t, `{"name":"a"}`)
+				if test.fault != fake.Down {
+					table.Set(test.fault)
+				}
+				if test.fault == fake.Down {
+					table.Set(fake.Down)
+				}
+				_, err := r.Put(context.Background(), "trial", d, "anna", 0)
+				var change *conf.ChangeError
+				switch {
+				case test.done && err != nil:
+					t.Errorf("got %v", err)
+				case !test.done && (!errors.As(err, &change) || change.Kind() != test.kind):
+					t.Errorf("got %v", err)
+				}
+				table.Set(fake.Up)
+				rel, err := r.Current(context.Background(), "trial")
+				if err != nil || (rel.Version == 1) != test.done {
+					t.Errorf("version %d, error %v", rel.Version, err)
+				}
+			})
+		})
+	}
+}
+
+func TestPromoteRaces(t *testing.T) {
+	table := fake.NewTable()
+	r := conf.NewRegistry(table, table)
+	ctx := context.Background()
+	one, two := decode(t, `{"name":"one"}`), decode(t, `{"name":"two"}`)
+	if _, err := r.Put(ctx, "trial", one, "anna", 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Put(ctx, "trial", two, "boris", 1); err != nil {
+		t.Fatal(err)
+	}
+	_, err := r.Promote(ctx, "trial", "production", one.Digest(), "anna", 0)
+	var change *conf.ChangeError
+	if !errors.As(err, &change) || change.Kind() != conf.Raced || change.By().By != "boris" {
+		t.Errorf("got %v", err)
+	}
+	table.Forget("document-" + two.Digest())
+	if _, err := r.Promote(ctx, "trial", "production", two.Digest(), "anna", 0); !errors.As(err, &change) || change.Kind() != conf.Unreadable {
+		t.Errorf("a missing body: %v", err)
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"rhubarbspread/core/call"
@@ -70,6 +71,8 @@
 	table    store.Table
 	list     store.List
 	wake     chan struct{} // a document was told of
+	stopped  chan struct{}
+	stopOnce sync.Once
 	life     context.Context
 	endLife  context.CancelFunc
 	inForce  uint64 // version of the document; the control goroutine's
@@ -82,7 +85,7 @@
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
-	n := &Node{config: config, log: log.WithValues("node", config.Node), clock: event.NewClock(time.Now), stats: stats.New(), wake: make(chan struct{}, 1)}
+	n := &Node{config: config, log: log.WithValues("node", config.Node), clock: event.NewClock(time.Now), stats: stats.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
 	n.life, n.endLife = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -210,6 +213,9 @@
 	n.peer.Push()
 }
 
+// Stop begins the graceful stop, as the end of Run's context does; a second call does nothing.
+func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stopped) }) }
+
 // Run serves until the context ends, then stops gracefully: not ready first, then no new connections,
 // then the end of what is under way. Its error is the first fault of any part.
 func (n *Node) Run(ctx context.Context) error {
@@ -244,6 +250,7 @@
 	case fault = <-ended:
 		left--
 	case <-ctx.Done():
+	case <-n.stopped:
 	}
 	fault = errors.Join(fault, n.stop(callers, admin))
 	n.endLife()
