--- /dev/null
+++ b/core/scale/forecast.go
@@ -0,0 +1,62 @@
+package scale
+
+import (
+	"math"
+	"time"
+)
+
+// Constants of the forecast.
+const (
+	headroom   = 1.3              // slots kept for each in use
+	ahead      = 20 * time.Minute // that a load takes at worst, for which the forecast looks ahead
+	downHold   = 10 * time.Minute // that a lower need must last before replicas are given up
+	hoursADay  = 24
+	quickForgo = 0.7 // of an hour's old peak that a new day's lower one leaves
+)
+
+// Forecast follows one model's demand, in slots in use, and says how many replicas it needs.
+type Forecast struct {
+	peaks   [2][hoursADay]float64 // of ordinary days and of holidays, by hour
+	current [hoursADay]float64    // of this day
+	day     int
+	lower   time.Time // since when fewer replicas would do
+	count   int
+}
+
+// Observe notes the slots in use at a time; holiday says what sort of day it is.
+func (f *Forecast) Observe(at time.Time, holiday bool, inUse float64) {
+	if day := at.YearDay(); day != f.day {
+		f.day = day
+		f.current = [hoursADay]float64{}
+	}
+	h := at.Hour()
+	f.current[h] = max(f.current[h], inUse)
+	p := &f.peaks[kindOf(holiday)][h]
+	*p = max(f.current[h], *p*quickForgo, min(*p, inUse))
+}
+
+func kindOf(holiday bool) int {
+	if holiday {
+		return 1
+	}
+	return 0
+}
+
+// Replicas returns how many replicas to hold now: up at once, with what the hour ahead needed on the days
+// before, and down only after a lower need has lasted.
+func (f *Forecast) Replicas(at time.Time, holiday bool, inUse, slotsEach float64, floor, most int) int {
+	soon := f.peaks[kindOf(holiday)][at.Add(ahead).Hour()]
+	need := int(math.Ceil(max(inUse, soon) * headroom / max(slotsEach, 1)))
+	need = min(max(need, floor, 1), most)
+	switch {
+	case need >= f.count:
+		f.count = need
+		f.lower = time.Time{}
+	case f.lower.IsZero():
+		f.lower = at
+	case at.Sub(f.lower) >= downHold:
+		f.count = need
+		f.lower = time.Time{}
+	}
+	return f.count
+}
--- /dev/null
+++ b/io/demo/bench_test.go
@@ -0,0 +1,58 @@
+package demo
+
+import (
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"rhubarbspread/io/fake"
+)
+
+// BenchmarkTokens streams long answers through one node over sockets and reports the CPU of the whole
+// process a token: the node's, the stand-in's and the caller's, so that the node's own is less.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 2000
+	d := startBench(b)
+	d.world.engines[0].SetRate(1e6)
+	cpu := cpuTime()
+	n := 0
+	for b.Loop() {
+		text, whole, err := d.stream(0, Assistant, "bench", tokens, func(int) {})
+		if err != nil || !whole || text != fake.Text("bench", tokens) {
+			b.Fatalf("whole %v, error %v", whole, err)
+		}
+		n += tokens
+	}
+	b.ReportMetric(float64(cpuTime()-cpu)/float64(n), "cpu-ns/token")
+}
+
+// BenchmarkRequests asks for answers of one token and reports the CPU of the whole process a request.
+func BenchmarkRequests(b *testing.B) {
+	d := startBench(b)
+	d.world.engines[0].SetRate(1e6)
+	cpu := cpuTime()
+	for b.Loop() {
+		resp, err := d.post(0, "/v1/completions", d.Key(), "", `{"model":"assistant","prompt":"x","max_tokens":1}`)
+		if err != nil {
+			b.Fatal(err)
+		}
+		raw, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if !strings.Contains(string(raw), fake.Token("x", 0)) {
+			b.Fatalf("got %s", raw)
+		}
+	}
+	b.ReportMetric(float64(cpuTime()-cpu)/float64(b.N), "cpu-ns/request")
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func startBench(b *testing.B) *Demo { return start(b, Config{Nodes: 1, Engines: 1}) }
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -18,7 +18,7 @@
 )
 
 // start runs a demo for the length of a test.
-func start(t *testing.T, c Config) *Demo {
+func start(t testing.TB, c Config) *Demo {
 	t.Helper()
 	c.Listen, c.Admin, c.Policy = anyPort, anyPort, "finish"
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/fake/engine.go
+++ b/io/fake/engine.go
@@ -116,6 +116,9 @@
 // Faults returns the faults in force.
 func (e *Engine) Faults() []string { return e.state.inForce() }
 
+// SetRate changes the tokens a second of one slot, for benchmarks; call it before any request.
+func (e *Engine) SetRate(rate float64) { e.config.Rate = rate }
+
 // Capacity returns the tokens a second of all slots.
 func (e *Engine) Capacity() float64 { return float64(e.config.Slots) * e.config.Rate }
 
