--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -56,7 +56,7 @@
 			}
 		}), 1, 20).Draw(rt, "events")
 		var fault error
-		synctest.Test(t, func(t *testing.T) { fault = contend(events) })
+		synctest.Test(t, func(*testing.T) { fault = contend(events) })
 		if fault != nil {
 			rt.Fatal(fault)
 		}
