--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -1,92 +1,11 @@
 package crash
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint identifies a request by its target and body.
-type Fingerprint string
-
-// Key returns a hash of the fingerprint.
-func (f Fingerprint) Key() uint64 { return xxhash.Sum64String(string(f)) }
-
-// fingerprintBytes is enough for no two bodies of a day to share a fingerprint.
-const fingerprintBytes = 16
-
-// NewFingerprint returns the fingerprint of a body sent to a model or service.
-func NewFingerprint(target string, body []byte) Fingerprint {
-	h := sha256.New()
-	h.Write([]byte(target))
-	h.Write([]byte{0})
-	h.Write(body)
-	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
-}
-
-// Verdict is how a request may run: Clear, Suspect or Quarantined.
-type Verdict interface{ verdict() }
-
-// Clear is a request without known crashes; a twin has to run where an identical one runs.
-type Clear struct{ twin string }
-
-// Suspect is a request that ran on an upstream when that died; it may not meet another suspect.
-type Suspect struct {
-	twin   string
-	avoid  []string
-	strong bool
-	age    time.Duration
-}
-
-// Quarantined is a request that two upstreams died of.
-type Quarantined struct{ remaining time.Duration }
-
-func (Clear) verdict()       {}
-func (Suspect) verdict()     {}
-func (Quarantined) verdict() {}
-
-// Twin returns the upstream that runs an identical request, or "".
-func (c Clear) Twin() string { return c.twin }
-
-// Twin returns the upstream that runs an identical request, or "".
-func (s Suspect) Twin() string { return s.twin }
-
-// Avoid returns the upstreams that died with the request.
-func (s Suspect) Avoid() []string { return s.avoid }
-
-// Strong reports whether an upstream died before it gave the request any token.
-func (s Suspect) Strong() bool { return s.strong }
-
-// Age returns the time since the latest mark.
-func (s Suspect) Age() time.Duration { return s.age }
-
-// Remaining returns how long the quarantine still lasts.
-func (q Quarantined) Remaining() time.Duration { return q.remaining }
-
-// Sign is how an upstream showed its death.
-type Sign int
-
-// The signs of death.
-const (
-	BrokeAtOnce Sign = iota // it broke off before it gave the request a token
-	BrokeLater              // it broke off after some tokens, which makes the request less suspect
-	FellSilent              // nothing came any more, which a cut link shows as well
-)
-
-// Mark says that an upstream died while it ran a request; nodes tell each other.
-type Mark struct {
-	Fingerprint Fingerprint `json:"fingerprint"`
-	Upstream    string      `json:"upstream"`
-	DataCentre  string      `json:"data-centre"`
-	Stamp       uint64      `json:"stamp"`
-	Sign        Sign        `json:"sign"`
-	Cleared     bool        `json:"cleared"` // an operator or a complete answer took the suspicion back
-}
-
 // Constants of suspicion.
 const (
 	crashesToQuarantine = 2
@@ -339,85 +258,6 @@
 	return true
 }
 
-// convictionDelay is how old the latest mark must be before a quarantine: marks of other requests, which
-// may explain the same deaths better, are to come from other nodes first.
-const convictionDelay = 100 * time.Millisecond
-
-// convict quarantines a request whose marks suffice, and reports whether it is in quarantine.
-func (r *Registry) convict(f Fingerprint, rec *record, now time.Time) bool {
-	if rec.until.After(now) {
-		return true
-	}
-	if !rec.until.IsZero() {
-		return false
-	}
-	for _, t := range rec.marks {
-		if now.Sub(t.at) < convictionDelay {
-			return false
-		}
-	}
-	if r.isCulprit(f, rec) {
-		rec.until = now.Add(r.quarantine)
-	}
-	return rec.until.After(now)
-}
-
-// isStrong reports whether all nodes have to take care with a request together.
-func (r *record) isStrong() bool {
-	return r.count(BrokeAtOnce) > 0 || len(r.marks) >= crashesToQuarantine
-}
-
-// isCulprit reports whether enough upstreams died of a request, and no other request explains the same
-// deaths better. One that explains them as well leaves it open until the next death.
-func (r *Registry) isCulprit(f Fingerprint, rec *record) bool {
-	needed := crashesToQuarantine
-	if rec.count(FellSilent) > 0 {
-		needed++
-	}
-	if len(rec.marks) < needed {
-		return false
-	}
-	for other, o := range r.records {
-		if other == f || !o.explains(rec) {
-			continue
-		}
-		better := o.count(BrokeAtOnce) - rec.count(BrokeAtOnce)
-		if better > 0 || (better == 0 && len(rec.marks) == needed) {
-			return false
-		}
-	}
-	return true
-}
-
-// explains reports whether a request was there at every death that another was there at.
-func (r *record) explains(other *record) bool {
-	for upstream := range other.marks {
-		if _, ok := r.marks[upstream]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
-// isMassDeath reports whether others of the data centre died just now of something else. One other is not
-// enough: two nodes may each have lost an upstream to copies of one request.
-func (r *Registry) isMassDeath(m Mark, now time.Time) bool {
-	others := 0
-	for upstream, d := range r.deaths {
-		if now.Sub(d.at) > suspicionTime {
-			delete(r.deaths, upstream)
-			continue
-		}
-		if upstream == m.Upstream || d.dataCentre != m.DataCentre || now.Sub(d.at) > massWindow {
-			continue
-		}
-		if !slices.Contains(d.marked, m.Fingerprint) {
-			others++
-		}
-	}
-	return others >= massDeaths
-}
-
 // Entry is one quarantined request, for operators.
 type Entry struct {
 	Fingerprint Fingerprint   `json:"fingerprint"`
--- a/io/cli/operate.go
+++ b/io/cli/operate.go
@@ -2,105 +2,21 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
 	"net/url"
-	"os"
-	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"rhubarbspread/core/crash"
 	"rhubarbspread/core/event"
-	"rhubarbspread/core/once"
 	"rhubarbspread/io/daemon"
-	"rhubarbspread/io/dial"
-	"rhubarbspread/io/table"
 
 	"github.com/google/subcommands"
 )
 
-// askTime bounds one call of a node.
-const askTime = 3 * time.Second
-
-// fleet is the nodes that an operator talks to.
-type fleet struct {
-	admin string
-	json  bool
-}
-
-func (f *fleet) setFlags(s *flag.FlagSet) {
-	s.StringVar(&f.admin, "admin", "", "IP:port of a node for operators, or several with commas; the others are found through these")
-	s.BoolVar(&f.json, "json", false, "print JSON")
-}
-
-// ask calls one node.
-func (f *fleet) ask(ctx context.Context, address, method, path string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
-	defer cancel()
-	h := dial.NewHost("admin", address)
-	var body []byte
-	if in != nil {
-		var err error
-		if body, err = json.Marshal(in); err != nil {
-			return err
-		}
-	}
-	r, err := h.Request(ctx, method, path, body)
-	if err != nil {
-		return err
-	}
-	r.Header.Set("Authorization", "Bearer "+os.Getenv(daemon.EnvName("admin-key")))
-	resp, err := h.DoFresh(r)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return dial.Decode(resp, out)
-}
-
-// addresses returns the operators' addresses of all nodes that those given know, and those given.
-func (f *fleet) addresses(ctx context.Context) ([]string, error) {
-	if f.admin == "" {
-		return nil, exitf(exitUsage, "-admin is needed (%s)", daemon.EnvName("admin"))
-	}
-	given := strings.Split(f.admin, ",")
-	known := slices.Clone(given)
-	for _, address := range given {
-		var out struct {
-			Nodes []daemon.NodeLine `json:"nodes"`
-		}
-		if f.ask(ctx, address, http.MethodGet, "/v1/nodes", nil, &out) != nil {
-			continue
-		}
-		for _, n := range out.Nodes {
-			if n.Admin != "" && n.State != "dead" {
-				known = append(known, n.Admin)
-			}
-		}
-	}
-	slices.Sort(known)
-	return slices.Compact(known), nil
-}
-
-// one asks the first node that answers.
-func (f *fleet) one(ctx context.Context, method, path string, in, out any) error {
-	addresses, err := f.addresses(ctx)
-	if err != nil {
-		return err
-	}
-	var last error
-	for _, address := range addresses {
-		if last = f.ask(ctx, address, method, path, in, out); last == nil {
-			return nil
-		}
-	}
-	return exitf(exitUnreachable, "no node answered; the last one: %v", last)
-}
-
 func operateCommands(out *output) []subcommands.Command {
 	var f fleet
 	var p platform
@@ -356,37 +272,3 @@
 		}
 	})
 }
-
-func (o *output) unresolved(ctx context.Context, p *platform) error {
-	if p.table == "" {
-		return exitf(exitUsage, "-table is needed")
-	}
-	list, err := once.List(ctx, table.New(p.table))
-	if err != nil {
-		return exitf(exitUnreachable, "%v", err)
-	}
-	if p.json {
-		return o.json(list)
-	}
-	return o.table("TEAM\tSERVICE\tKEY\tSTATE\tTOKEN\tAT\tNOTE", func(add func(...any)) {
-		for _, u := range list {
-			add(u.Key.Team, u.Key.Service, u.Key.Key, u.State, u.Token, u.At.Format(time.RFC3339), u.Note)
-		}
-	})
-}
-
-func (o *output) resolve(ctx context.Context, p *platform, args []string, ran bool, note string) error {
-	if err := takes(args, 4, "a team, a service, a key and a token"); err != nil {
-		return err
-	}
-	if p.table == "" || note == "" {
-		return exitf(exitUsage, "-table and -note are needed")
-	}
-	key := once.Key{Team: args[0], Service: args[1], Key: args[2]}
-	response := &once.Response{Status: http.StatusOK, ContentType: "text/plain", Body: []byte("recorded by an operator: " + note + "\n")}
-	if err := once.Resolve(ctx, table.New(p.table), key, args[3], ran, response, note); err != nil {
-		return err
-	}
-	o.printf("%s/%s/%s: ran=%v is recorded\n", args[0], args[1], args[2], ran)
-	return nil
-}
