Report the recovery time after each fault, and meet other nodes at once

Cause: load told the longest stall only; a new node met the others in the course of its probes, so that status lacked some for seconds. Change: the fault door remembers orders, load finds the stalls after each; nodes new on the list are met at once, and the demo is ready when all have met; a test that a caller's going away stops the engine.

--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,10 +20,10 @@
 // pausable is the table as one contender reaches it; a pause holds its calls, as a VM's pause would.
 type pausable struct {
 	store.Table
-	until time.Time
+	until atomic.Int64 // nanoseconds since 1970
 }
 
-func (p *pausable) wait() { time.Sleep(time.Until(p.until)) }
+func (p *pausable) wait() { time.Sleep(time.Until(time.Unix(0, p.until.Load()))) }
 
 // Get returns a row after the pause.
 func (p *pausable) Get(ctx context.Context, key string) (store.Row, error) {
@@ -96,7 +97,7 @@
 	for _, e := range events {
 		switch e.kind {
 		case 1:
-			tables[e.who].until = time.Now().Add(e.wait)
+			tables[e.who].until.Store(time.Now().Add(e.wait).UnixNano())
 		case 2:
 			table.Set(e.fault)
 		case 3:
--- a/core/member/swim.go
+++ b/core/member/swim.go
@@ -86,8 +86,8 @@
 }
 
 // Seed adds nodes that the platform's list shows. The list alone makes nobody dead, and it does not
-// revive a node that the others found dead.
-func (s *Swim) Seed(nodes []Node) {
+// revive a node that the others found dead. It reports whether some node is new here.
+func (s *Swim) Seed(nodes []Node) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
@@ -103,6 +103,7 @@
 		changed = true
 	}
 	s.tellNodes(changed)
+	return changed
 }
 
 // Next returns the node to probe in this period; every node is probed once a round, in random order.
--- a/io/cli/load.go
+++ b/io/cli/load.go
@@ -61,6 +61,9 @@
 	o.printf("tokens/s %.1f of a bound of %.1f (%.3f), keys run more than once %d\n", r.TokensPerSec, r.Bound, r.Share, r.DoubledOrders)
 	o.printf("first token ms p50 %.1f p95 %.1f p99 %.1f; between tokens ms p50 %.1f p95 %.1f p99 %.1f; longest stall ms %.1f\n",
 		r.First.P50, r.First.P95, r.First.P99, r.Between.P50, r.Between.P95, r.Between.P99, r.LongestStall)
+	for _, f := range r.Recoveries {
+		o.printf("recovery after %s at %s: %.0f ms\n", f.Kind, f.Target, f.Millis)
+	}
 	if r.Wrong > 0 || r.DoubledOrders > 0 {
 		return exitf(exitFailed, "%d answers were wrong or partial, %d keys ran more than once", r.Wrong, r.DoubledOrders)
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -140,6 +140,17 @@
 // PeersAddress returns the IP:port for nodes.
 func (n *Node) PeersAddress() string { return n.peersListener.Addr().String() }
 
+// Met returns how many living nodes, this one included, have told of themselves.
+func (n *Node) Met() int {
+	met := 0
+	for _, m := range n.swim.Alive() {
+		if m.Admin != "" {
+			met++
+		}
+	}
+	return met
+}
+
 // Name returns the node's name.
 func (n *Node) Name() string { return n.config.Node }
 
--- a/io/daemon/watch.go
+++ b/io/daemon/watch.go
@@ -72,7 +72,10 @@
 			nodes = append(nodes, member.Node{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre})
 		}
 	}
-	n.swim.Seed(nodes)
+	if n.swim.Seed(nodes) {
+		// Meet them at once rather than in the course of the probes.
+		n.peer.Push()
+	}
 }
 
 // watchDocument asks the platform for the environment's version; peers tell of it too, and sooner.
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -179,11 +179,11 @@
 	return netip.AddrPortFrom(a.Addr(), a.Port()+uint16(by)).String()
 }
 
-// awaitReady waits until every node has its document and the reports of its upstreams.
+// awaitReady waits until every node has its document and has met the others.
 func (d *Demo) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTime)
-	for _, address := range d.Callers() {
-		for !isReady(ctx, address) {
+	for i, address := range d.Callers() {
+		for !isReady(ctx, address) || d.nodes[i].Met() < len(d.nodes) {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("demo: the node at %s did not become ready", address)
 			}
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -267,3 +267,22 @@
 		})
 	}
 }
+
+// TestGoingAwayCancels leaves a stream in the middle and looks whether the engine stops.
+func TestGoingAwayCancels(t *testing.T) {
+	d := start(t, Config{Nodes: 1, Engines: 1})
+	resp, err := d.post(0, "/v1/completions", d.Key(), "", `{"model":"assistant","prompt":"leaving","max_tokens":4000,"stream":true}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := bufio.NewReader(resp.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	for d.world.engines[0].Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := d.world.engines[0].Stats().Tokens; n > 2000 {
+		t.Errorf("%d tokens were generated for nobody", n)
+	}
+}
--- a/io/demo/faults.go
+++ b/io/demo/faults.go
@@ -59,12 +59,31 @@
 		http.Error(rw, fmt.Sprintf("%s knows no fault %q", q.Target, q.Kind), http.StatusBadRequest)
 		return
 	}
+	w.remember(q.Kind, q.Target)
 	if end := ends[q.Kind]; q.ForMS > 0 && end != "" {
 		time.AfterFunc(time.Duration(q.ForMS)*time.Millisecond, func() { t.Set(end) })
 	}
 	rw.WriteHeader(http.StatusNoContent)
 }
 
+// ordered is a fault that somebody ordered.
+type ordered struct {
+	Kind   string `json:"kind"`
+	Target string `json:"target"`
+	AtMS   int64  `json:"at-ms"` // since 1970
+}
+
+// mostHistory bounds the remembered orders.
+const mostHistory = 1000
+
+func (w *world) remember(kind, target string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.history) < mostHistory {
+		w.history = append(w.history, ordered{Kind: kind, Target: target, AtMS: time.Now().UnixMilli()})
+	}
+}
+
 func answer(rw http.ResponseWriter, v any) {
 	rw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rw).Encode(v)
@@ -83,9 +102,13 @@
 		}
 		lines = append(lines, line{Target: name, Faults: faults})
 	}
+	w.mu.Lock()
+	history := slices.Clone(w.history)
+	w.mu.Unlock()
 	answer(rw, struct {
-		Targets []line `json:"targets"`
-	}{lines})
+		Targets []line    `json:"targets"`
+		History []ordered `json:"history"`
+	}{lines, history})
 }
 
 func (w *world) tellOracle(rw http.ResponseWriter, _ *http.Request) {
--- a/io/demo/world.go
+++ b/io/demo/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"rhubarbspread/core/store"
@@ -51,6 +52,9 @@
 	ended   []<-chan error
 
 	tableAddress, listAddress string
+
+	mu      sync.Mutex
+	history []ordered
 }
 
 func newWorld(ctx context.Context, engines int) (*world, error) {
--- a/io/fake/engine.go
+++ b/io/fake/engine.go
@@ -312,6 +312,12 @@
 	return out
 }
 
+// Running returns the requests in slots at this moment.
+func (e *Engine) Running() int {
+	running, _ := e.slots.load()
+	return running
+}
+
 // Order makes the engine hold just these models; an engine with fencing refuses an old number.
 func (e *Engine) Order(number uint64, models []string) error {
 	e.mu.Lock()
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -72,22 +72,39 @@
 
 // Report is what a load found.
 type Report struct {
-	Offered       int     `json:"offered"`
-	Answered      int     `json:"answered"`
-	Wrong         int     `json:"wrong-or-partial"`
-	NotRun        int     `json:"refused-not-run"`
-	MayHaveRun    int     `json:"refused-may-have-run"`
-	Tokens        int     `json:"tokens"`
-	TokensPerSec  float64 `json:"tokens-per-second"`
-	Bound         float64 `json:"bound-tokens-per-second"`
-	Share         float64 `json:"share-of-bound"`
-	First         Times   `json:"time-to-first-token"`
-	Between       Times   `json:"time-between-tokens"`
-	LongestStall  float64 `json:"longest-stall-ms"`
-	DoubledOrders int     `json:"keys-run-more-than-once"`
-	Points        []Point `json:"-"`
+	Offered       int        `json:"offered"`
+	Answered      int        `json:"answered"`
+	Wrong         int        `json:"wrong-or-partial"`
+	NotRun        int        `json:"refused-not-run"`
+	MayHaveRun    int        `json:"refused-may-have-run"`
+	Tokens        int        `json:"tokens"`
+	TokensPerSec  float64    `json:"tokens-per-second"`
+	Bound         float64    `json:"bound-tokens-per-second"`
+	Share         float64    `json:"share-of-bound"`
+	First         Times      `json:"time-to-first-token"`
+	Between       Times      `json:"time-between-tokens"`
+	LongestStall  float64    `json:"longest-stall-ms"`
+	DoubledOrders int        `json:"keys-run-more-than-once"`
+	Recoveries    []Recovery `json:"recoveries"`
+	Points        []Point    `json:"-"`
 }
 
+// Recovery is how long streams stalled after a fault of the demo's.
+type Recovery struct {
+	Kind   string  `json:"kind"`
+	Target string  `json:"target"`
+	Millis float64 `json:"recovery-ms"` // from the fault to the end of the last stall that it brought, or 0
+}
+
+// stall is a time between two tokens of one answer that was longer than stallFloor.
+type stall struct{ from, to time.Time }
+
+// Constants of recovery: which gaps count, and how long after a fault they may begin.
+const (
+	stallFloor  = 200 * time.Millisecond
+	stallWindow = 2 * time.Second
+)
+
 // Point is one second of a run.
 type Point struct {
 	Second float64
@@ -104,6 +121,7 @@
 	first   *hdrhistogram.Histogram
 	between *hdrhistogram.Histogram
 	seconds map[int]*Point
+	stalls  []stall
 }
 
 // Run sends the load and waits for every answer.
@@ -299,6 +317,9 @@
 		return
 	}
 	_ = r.between.RecordValue(max(1, gap.Microseconds()))
+	if gap > stallFloor {
+		r.stalls = append(r.stalls, stall{from: now.Add(-gap), to: now})
+	}
 	ms := float64(gap) / float64(time.Millisecond)
 	p.Stall = max(p.Stall, ms)
 	r.report.LongestStall = max(r.report.LongestStall, ms)
@@ -323,35 +344,9 @@
 	if r.config.Faults == "" {
 		return out, nil
 	}
-	return out, r.askOracle(context.WithoutCancel(ctx))
-}
-
-// askOracle takes the bound and the executions from the demo's fault door.
-func (r *run) askOracle(ctx context.Context) error {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.config.Faults+"/oracle", nil)
-	if err != nil {
-		return err
-	}
-	resp, err := r.client.Do(q)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	var o struct {
-		Executions map[string]int `json:"executions"`
-		Capacity   float64        `json:"tokens-per-second"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
-		return err
-	}
-	for _, n := range o.Executions {
-		if n > 1 {
-			r.report.DoubledOrders++
-		}
-	}
-	r.report.Bound = o.Capacity
-	if o.Capacity > 0 {
-		r.report.Share = r.report.TokensPerSec / o.Capacity
+	ctx = context.WithoutCancel(ctx)
+	if err := r.askOracle(ctx); err != nil {
+		return out, err
 	}
-	return nil
+	return out, r.askFaults(ctx)
 }
