Let nodes follow demand: lease, forecast and orders to engines

Cause: leases and the reconciler were no part of a node; capacity followed nothing. What an engine says it holds goes before the list. A drain by capacity is a fact that the next holder finds.

--- a/core/kern/control.go
+++ b/core/kern/control.go
@@ -51,7 +51,8 @@
 	leaving  bool
 	absent   time.Time // since when the list lacks it
 	reported time.Time
-	told     bool // the upstream itself says that it is leaving
+	models   []string // that an engine says it holds; nil where it does not say
+	told     bool     // the upstream itself says that it is leaving
 }
 
 // ControlOption sets a part of a Control.
@@ -196,17 +197,29 @@
 		return false
 	}
 	m.reported = time.Now()
-	if stages := c.stages[m.upstream.Serves()]; stages != nil {
-		stages.SetReport(in.Upstream, in.Report, in.Link)
-		c.sizeChain(m.upstream.Serves(), stages)
-	} else if pool := c.pools[m.upstream.Serves()]; pool != nil {
-		pool.SetReport(in.Upstream, in.Report, in.Link)
-	}
-	changed := m.told != in.Report.Leaving
+	changed := m.told != in.Report.Leaving || !slices.Equal(m.models, in.Report.Models)
 	m.told = in.Report.Leaving
+	m.models = in.Report.Models
+	for _, target := range m.serves() {
+		if stages := c.stages[target]; stages != nil {
+			stages.SetReport(in.Upstream, in.Report, in.Link)
+			c.sizeChain(target, stages)
+		} else if pool := c.pools[target]; pool != nil {
+			pool.SetReport(in.Upstream, in.Report, in.Link)
+		}
+	}
 	return changed
 }
 
+// serves returns the models or the service of an upstream: by its own word, for engines follow orders
+// sooner than the list shows it, or else by the list.
+func (m *machine) serves() []string {
+	if first, last := m.upstream.Layers(); m.models == nil || first != last {
+		return []string{m.upstream.Serves()}
+	}
+	return m.models
+}
+
 // sizeChain tells the admission of a split model how much its stages carry together.
 func (c *Control) sizeChain(model string, stages *chain.Stages) {
 	requests, rate := stages.Capacity()
@@ -239,7 +252,9 @@
 func (c *Control) fillPools(v *View) {
 	serving := make(map[string][]*route.Upstream)
 	for _, u := range v.upstreams {
-		serving[u.Serves()] = append(serving[u.Serves()], u)
+		for _, target := range c.machines[u.Name()].serves() {
+			serving[target] = append(serving[target], u)
+		}
 	}
 	wanted := make(map[string]bool)
 	for name, model := range c.document.Models() {
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -63,6 +63,8 @@
 	Queued  int     // requests that wait for a slot
 	Rate    float64 // tokens a second of one slot
 	Leaving bool    // the upstream wants no new work
+	// Models are those that an engine holds; nil where it does not say.
+	Models []string
 }
 
 // Candidate is what a policy knows of one upstream at the moment of choice.
--- a/core/scale/forecast.go
+++ b/core/scale/forecast.go
@@ -23,6 +23,9 @@
 	count   int
 }
 
+// Start sets how many replicas there are, from which the first decisions go on.
+func (f *Forecast) Start(replicas int) { f.count = replicas }
+
 // Observe notes the slots in use at a time; holiday says what sort of day it is.
 func (f *Forecast) Observe(at time.Time, holiday bool, inUse float64) {
 	if day := at.YearDay(); day != f.day {
--- a/core/scale/reconcile.go
+++ b/core/scale/reconcile.go
@@ -10,11 +10,12 @@
 
 // Engine is one engine as its own late report shows it.
 type Engine struct {
-	Name    string
-	Holds   []string // models that it holds
-	Busy    int      // requests that run or wait there
-	Checks  bool     // it refuses an order with an old number
-	Drained bool     // every node has been told, for long enough, to give it no new work
+	Name     string
+	Holds    []string // models that it holds
+	Busy     int      // requests that run or wait there
+	Checks   bool     // it refuses an order with an old number
+	Draining bool     // capacity has it drained, on this holder's order or an earlier one's
+	Drained  bool     // every node has been told, for long enough, to give it no new work
 }
 
 // Fleet is what a reconciler sees and does.
@@ -37,12 +38,11 @@
 	wanted   func() map[string][]string // models by engine; an engine that is missing is left alone
 	interval time.Duration              // between orders that load weights
 	lastLoad time.Time
-	drains   map[string]bool
 }
 
 // NewReconciler returns a reconciler; interval keeps the weight store's rate limit.
 func NewReconciler(l *lease.Lease, f Fleet, wanted func() map[string][]string, interval time.Duration) *Reconciler {
-	return &Reconciler{lease: l, fleet: f, wanted: wanted, interval: interval, drains: make(map[string]bool)}
+	return &Reconciler{lease: l, fleet: f, wanted: wanted, interval: interval}
 }
 
 // Step makes one round over the engines.
@@ -66,9 +66,8 @@
 
 // release ends a drain that has served its end.
 func (r *Reconciler) release(ctx context.Context, e Engine) {
-	if r.drains[e.Name] {
+	if e.Draining {
 		r.fleet.Drain(ctx, e.Name, false)
-		delete(r.drains, e.Name)
 	}
 }
 
@@ -80,8 +79,7 @@
 		return
 	}
 	if losesModel(e.Holds, models) && (!e.Drained || e.Busy > 0) {
-		if !r.drains[e.Name] {
-			r.drains[e.Name] = true
+		if !e.Draining {
 			r.fleet.Drain(ctx, e.Name, true)
 		}
 		return
--- a/core/scale/scale_test.go
+++ b/core/scale/scale_test.go
@@ -38,7 +38,7 @@
 		since, drained := f.drained[e.Name()]
 		out = append(out, scale.Engine{
 			Name: e.Name(), Holds: l.Models, Busy: l.Running + l.Queued, Checks: f.checks,
-			Drained: drained && time.Since(since) > 3*time.Second,
+			Draining: drained, Drained: drained && time.Since(since) > 3*time.Second,
 		})
 	}
 	return out
--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -12,12 +12,15 @@
 	"rhubarbspread/core/crash"
 	"rhubarbspread/core/event"
 	"rhubarbspread/core/kern"
-	"rhubarbspread/core/member"
 	"rhubarbspread/io/serve"
 )
 
-// drainOn is the value of a fact that drains a VM.
-const drainOn = "on"
+// Values of a fact that drains a VM: by whose word.
+const (
+	drainOff      = ""
+	drainOperator = "operator"
+	drainCapacity = "capacity"
+)
 
 // adminBody bounds an operator's body.
 const adminBody = 1 << 16
@@ -199,12 +202,11 @@
 		http.Error(w, "no upstream "+body.Name, http.StatusNotFound)
 		return
 	}
-	value := ""
+	value := drainOff
 	if body.Drain {
-		value = drainOn
+		value = drainOperator
 	}
-	n.swim.Publish(member.Fact{Kind: drainFact, Key: body.Name, Version: uint64(n.clock.Next()), Value: []byte(value)})
-	n.peer.Push()
+	n.drain(body.Name, value)
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -70,6 +70,7 @@
 	registry *conf.Registry
 	table    store.Table
 	list     store.List
+	reports  sync.Map      // route.Report by upstream
 	wake     chan struct{} // a document was told of
 	stopped  chan struct{}
 	stopOnce sync.Once
@@ -239,6 +240,7 @@
 		n.watchList(inner),
 		n.watchDocument(inner),
 		n.watchReports(inner),
+		n.followDemand(inner),
 	}
 	handler, err := n.callers.Handler()
 	if err != nil {
--- a/io/daemon/watch.go
+++ b/io/daemon/watch.go
@@ -185,6 +185,9 @@
 	askCtx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
 	report, link, err := n.engines.Load(askCtx, u)
+	if err == nil {
+		n.reports.Store(u.Name(), report)
+	}
 	_ = n.control.Send(ctx, kern.NewReport{Upstream: u.Name(), Report: report, Link: link, Failed: err != nil})
 }
 
@@ -197,7 +200,7 @@
 			n.crashes.Learn(m)
 		}
 	case drainFact:
-		_ = n.control.Send(n.life, kern.NewDrain{Name: f.Key, Drain: string(f.Value) == drainOn})
+		_ = n.control.Send(n.life, kern.NewDrain{Name: f.Key, Drain: string(f.Value) != drainOff})
 	case documentFact:
 		select {
 		case n.wake <- struct{}{}:
--- a/io/model/model.go
+++ b/io/model/model.go
@@ -152,6 +152,16 @@
 // Drop leaves the open connections to an upstream.
 func (c *Client) Drop(u *route.Upstream) { c.host(u).Drop() }
 
+// Order tells an engine to hold just these models; the number lets it refuse an order of an older holder.
+func (c *Client) Order(ctx context.Context, u *route.Upstream, number uint64, models []string) error {
+	body := struct {
+		Number uint64   `json:"number"`
+		Models []string `json:"models"`
+	}{number, models}
+	_, err := c.host(u).JSON(ctx, true, http.MethodPost, "/v1/orders", body, nil)
+	return err
+}
+
 // Load asks an upstream of any kind for its load and returns the round trip that it took.
 func (c *Client) Load(ctx context.Context, u *route.Upstream) (route.Report, time.Duration, error) {
 	var l struct {
@@ -160,9 +170,11 @@
 		Queued  int     `json:"queued"`
 		Rate    float64 `json:"tokens-per-second"`
 		Leaving bool    `json:"leaving"`
+		// Models is null for what is no engine.
+		Models []string `json:"models"`
 	}
 	start := time.Now()
 	_, err := c.host(u).JSON(ctx, false, http.MethodGet, "/v1/load", nil, &l)
-	report := route.Report{Slots: l.Slots, Running: l.Running, Queued: l.Queued, Rate: l.Rate, Leaving: l.Leaving}
+	report := route.Report{Slots: l.Slots, Running: l.Running, Queued: l.Queued, Rate: l.Rate, Leaving: l.Leaving, Models: l.Models}
 	return report, time.Since(start), err
 }
