Give each prompt beginning a home of a quarter of the upstreams

Change: a request with a long prompt goes to one of the upstreams that its beginning belongs to, by rendezvous hashing weighted by capacity, while one has a place.

--- a/core/limit/choose.go
+++ b/core/limit/choose.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -46,9 +47,9 @@
 func (p *Pool) gather(d Demand, sure bool, now time.Time) {
 	p.candidates = p.candidates[:0]
 	p.indexes = p.indexes[:0]
-	favored := -1
-	if d.Prefix != 0 {
-		favored = p.favored(d.Prefix)
+	var home []int
+	if p.policy.Windowed() {
+		home = p.prefixHome(d.Prefix)
 	}
 	shunned := p.shunned(d)
 	// A resumed answer goes beyond the window: the upstream lets it pass those that wait.
@@ -61,7 +62,7 @@
 		if sure && s.doubted {
 			continue
 		}
-		grade := s.grade(d, slices.Contains(shunned, i))
+		grade := s.grade(d, slices.Contains(shunned, i), len(home) > 0 && !slices.Contains(home, i))
 		if grade > least {
 			continue
 		}
@@ -70,7 +71,7 @@
 			p.candidates = p.candidates[:0]
 			p.indexes = p.indexes[:0]
 		}
-		p.candidates = append(p.candidates, s.candidate(d, i == favored, now))
+		p.candidates = append(p.candidates, s.candidate(d, len(home) > 0 && home[0] == i, now))
 		p.indexes = append(p.indexes, i)
 	}
 }
@@ -90,13 +91,17 @@
 // Grades of a seat for a demand; only seats of the least grade come before the policy.
 const (
 	sharesCentre = worstIsolation + 1 // it is in the data centre where the request lost its last upstream to silence
-	worstGrade   = worstIsolation + sharesCentre
+	awayFromHome = sharesCentre + 1   // it is none of those that the prompt's beginning belongs to
+	worstGrade   = worstIsolation + sharesCentre + awayFromHome
 )
 
-func (s *seat) grade(d Demand, shunned bool) int {
+func (s *seat) grade(d Demand, shunned, away bool) int {
 	grade := 0
+	if away {
+		grade = awayFromHome
+	}
 	if d.Suspect && d.Twin == "" {
-		grade = s.isolation(shunned)
+		grade += s.isolation(shunned)
 	}
 	if d.AvoidCentre != "" && s.upstream.DataCentre() == d.AvoidCentre {
 		grade += sharesCentre
@@ -136,21 +141,33 @@
 	return best
 }
 
-// favored returns the sound seat to which a prompt's beginning belongs: rendezvous hashing weighted by
-// capacity, so that the seat is one that the policy would often take anyway.
-func (p *Pool) favored(prefix uint64) int {
-	best := -1
-	most := 0.0
+// homePart is the part of the upstreams that a prompt's beginning belongs to: few enough that their
+// caches hold the beginnings that are theirs, and enough that one of them has a place.
+const homePart = 4
+
+// prefixHome returns the sound seats that a prompt's beginning belongs to, the first of all first:
+// rendezvous hashing weighted by capacity, the same on every node.
+func (p *Pool) prefixHome(prefix uint64) []int {
+	if prefix == 0 {
+		return nil
+	}
+	type weighted struct {
+		seat   int
+		weight float64
+	}
+	var all []weighted
 	for i, s := range p.seats {
-		if !s.sound() {
-			continue
-		}
-		uniform := (float64(weigh(prefix, s.hash)>>11) + 0.5) / (1 << 53)
-		if w := float64(s.slots()) * s.streamRate() / -math.Log(uniform); best < 0 || w > most {
-			best, most = i, w
+		if s.sound() && !s.doubted {
+			uniform := (float64(weigh(prefix, s.hash)>>11) + 0.5) / (1 << 53)
+			all = append(all, weighted{i, float64(s.slots()) * s.streamRate() / -math.Log(uniform)})
 		}
 	}
-	return best
+	slices.SortFunc(all, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	var home []int
+	for _, w := range all[:min(len(all), 1+len(all)/homePart)] {
+		home = append(home, w.seat)
+	}
+	return home
 }
 
 func excluded(d Demand, s *seat) bool {
