--- a/io/fake/wire.go
+++ b/io/fake/wire.go
@@ -47,13 +47,23 @@
 		return err
 	}
 	d.address = l.Addr().String()
-	d.server = &http.Server{Handler: d.handler, ReadHeaderTimeout: 5 * time.Second}
+	d.server = &http.Server{Handler: alive(d.handler, d.state), ReadHeaderTimeout: 5 * time.Second}
 	d.ended = make(chan error, 1)
 	server, ended := d.server, d.ended
 	go func() { ended <- server.Serve(&listener{Listener: l, state: d.state}) }()
 	return nil
 }
 
+// alive breaks off calls that come between a crash and the closing of the listener.
+func alive(h http.Handler, s *state) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.has(Crash) {
+			breakOff()
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // crash closes the listener and breaks all connections, as the death of the process does.
 func (d *Door) crash() {
 	d.mu.Lock()
