Share the ledger's transactions, and test what logs may not hold

Cause: at 300 transactions a second the ledger carried 156 calls/s, two writes each. A refusal while the ledger is down says that it speaks of this request alone. Tests for logs.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -247,9 +247,12 @@
 		return reply.NewRefusal(http.StatusInternalServerError, "internal", err.Error(), reply.WithRun(reply.MayHaveRun))
 	}
 	status, code := http.StatusConflict, "unsettled"
+	detail := e.Error()
 	switch e.Cause() {
 	case once.TableDown:
 		status, code = http.StatusServiceUnavailable, "ledger-unavailable"
+		// Not-run speaks of this request; a caller must not take it for the fate of an earlier one.
+		detail += "; this request was not sent, and of an earlier one with the same key nothing is known until the ledger answers: repeat with the same key"
 	case once.OtherBody:
 		status, code = http.StatusUnprocessableEntity, "other-body"
 	case once.Running:
@@ -262,5 +265,5 @@
 		code = "answer-not-kept"
 	case once.Unsettled, once.Corrupt:
 	}
-	return reply.NewRefusal(status, code, e.Error(), reply.WithRun(e.Run()), reply.WithRetryAfter(e.RetryAfter()))
+	return reply.NewRefusal(status, code, detail, reply.WithRun(e.Run()), reply.WithRetryAfter(e.RetryAfter()))
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -62,6 +62,7 @@
 	control  *kern.Control
 	budget   *retry.Budget
 	crashes  *crash.Registry
+	batcher  *once.Batcher
 	ledger   *once.Ledger
 	relay    *relay.Relay
 	chain    *chain.Engine
@@ -187,7 +188,8 @@
 	policy := p.New.(func() route.Policy)()
 	n.control = kern.NewControl(n.config.Node, n.config.DataCentre, policy, kern.WithOnView(n.onView))
 	incarnation := fmt.Sprintf("%x", time.Now().UnixNano())
-	n.ledger = once.New(n.table, n.peer, n.config.Node, incarnation)
+	n.batcher = once.NewBatcher(n.table)
+	n.ledger = once.New(n.batcher, n.peer, n.config.Node, incarnation)
 	n.chain = chain.NewEngine(n.engines, chain.WithCrashes(n.crashes, n.spread), chain.WithRing(n.ring))
 	engine := relay.NewSplit(n.engines, n.chain)
 	n.relay = relay.New(n.config.Node+"-"+incarnation, engine, n.budget, n.crashes, n.ring, relay.WithSpread(n.spread),
@@ -241,6 +243,7 @@
 		n.watchDocument(inner),
 		n.watchReports(inner),
 		n.followDemand(inner),
+		n.batcher.Run(inner),
 	}
 	handler, err := n.callers.Handler()
 	if err != nil {
--- /dev/null
+++ b/io/demo/logs_test.go
@@ -0,0 +1,56 @@
+package demo
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"rhubarbspread/io/logs"
+)
+
+// lockedText is a log that several nodes write.
+type lockedText struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write appends to the log.
+func (l *lockedText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// TestLogsHoldNoSecretsOrPrompts runs requests with the details logged and looks for what may not be there.
+func TestLogsHoldNoSecretsOrPrompts(t *testing.T) {
+	var text lockedText
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	up := make(chan *Demo, 1)
+	config := Config{Listen: anyPort, Admin: anyPort, Nodes: 1, Engines: 1, Policy: "finish"}
+	go func() { ended <- Run(ctx, config, logs.New(&text, true), func(d *Demo) { up <- d }) }()
+	d := <-up
+	for _, body := range []string{`{"model":"assistant","prompt":"a private matter","max_tokens":2}`, `{"model":"none","prompt":"a private matter"}`, `{"broken a private matter`} {
+		resp, err := d.post(0, "/v1/completions", d.Key(), "", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+	}
+	resp, err := d.post(0, "/v1/services/booking/offers", d.Key(), "a private key", `{"name":"a private matter"}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	key, admin := d.Key(), d.AdminKey()
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	for _, secret := range []string{key, admin, "private"} {
+		if strings.Contains(text.b.String(), secret) {
+			t.Errorf("the log holds %q", secret)
+		}
+	}
+}
