Refuse a document in which two teams have one key

Cause: the later team took the key over without a word, for the keyring maps a digest to one team. Change: a fault with its path, and a test.

--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -31,6 +31,15 @@
 	})
 }
 
+func TestOneKeyOneTeam(t *testing.T) {
+	const digest = "sha256:0000000000000000000000000000000000000000000000000000000000000000"
+	_, err := conf.Decode([]byte(`{"name":"a","teams":[{"name":"x","key-digests":["` + digest + `"]},{"name":"y","key-digests":["` + digest + `"]}]}`))
+	var bad *conf.Error
+	if !errors.As(err, &bad) || len(bad.Faults()) != 1 {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestIdempotentByLongestPrefix(t *testing.T) {
 	d := decode(t, `{"name":"a","services":[{"name":"s","routes":[
 		{"method":"GET","prefix":"/status","idempotent":true},{"method":"GET","prefix":"/status/reset","idempotent":false}]}]}`)
--- a/core/conf/decode.go
+++ b/core/conf/decode.go
@@ -178,6 +178,7 @@
 
 func (d *Document) readTeams(b *body, e *Error) {
 	d.teams = make(map[string]*Team, len(b.Teams))
+	owners := make(map[string]string) // of key digests
 	for i, t := range b.Teams {
 		path := fmt.Sprintf("teams[%d]", i)
 		checkName(e, d.teams[t.Name] != nil, path, t.Name)
@@ -189,6 +190,12 @@
 			e.addf("%s.weight: %v is not above zero", path, team.weight)
 		}
 		team.digests = readDigests(t.KeyDigests, path, e)
+		for _, digest := range team.digests {
+			if owner, taken := owners[string(digest)]; taken {
+				e.addf("%s.key-digests: a key of team %q too", path, owner)
+			}
+			owners[string(digest)] = t.Name
+		}
 		d.checkUses(path, t.Models, t.Services, e)
 		d.teams[t.Name] = team
 	}
