Keep an hour's peak until the hour is over, and end drains with management

Cause: the forecast cut an old peak by 0.7 at every observation, so that it was gone seconds into its hour; a rush at twenty past found the replicas given up ten minutes before. An engine that capacity had drained stayed drained when the document stopped managing its model. Change: the cut is made once, when the hour is over; an engine that is not managed is released.

--- a/core/scale/forecast.go
+++ b/core/scale/forecast.go
@@ -18,24 +18,27 @@
 type Forecast struct {
 	peaks   [2][hoursADay]float64 // of ordinary days and of holidays, by hour
 	current [hoursADay]float64    // of this day
-	day     int
-	lower   time.Time // since when fewer replicas would do
+	hour    int                   // to which current was brought up last
+	lower   time.Time             // since when fewer replicas would do
 	count   int
 }
 
 // Start sets how many replicas there are, from which the first decisions go on.
 func (f *Forecast) Start(replicas int) { f.count = replicas }
 
-// Observe notes the slots in use at a time; holiday says what sort of day it is.
+// Observe notes the slots in use at a time; holiday says what sort of day it is. An hour's old peak counts
+// until that hour is over: only then is it known that the day's own was lower.
 func (f *Forecast) Observe(at time.Time, holiday bool, inUse float64) {
-	if day := at.YearDay(); day != f.day {
-		f.day = day
-		f.current = [hoursADay]float64{}
-	}
+	peaks := &f.peaks[kindOf(holiday)]
 	h := at.Hour()
+	if h != f.hour {
+		over := f.hour
+		peaks[over] = max(f.current[over], peaks[over]*quickForgo)
+		f.current[h] = 0
+		f.hour = h
+	}
 	f.current[h] = max(f.current[h], inUse)
-	p := &f.peaks[kindOf(holiday)][h]
-	*p = max(f.current[h], *p*quickForgo, min(*p, inUse))
+	peaks[h] = max(peaks[h], inUse)
 }
 
 func kindOf(holiday bool) int {
--- a/core/scale/reconcile.go
+++ b/core/scale/reconcile.go
@@ -52,11 +52,8 @@
 	}
 	wanted := r.wanted()
 	for _, e := range r.fleet.Engines(ctx) {
-		models, ok := wanted[e.Name]
-		if !ok {
-			continue
-		}
-		if sameModels(e.Holds, models) {
+		models, managed := wanted[e.Name]
+		if !managed || sameModels(e.Holds, models) {
 			r.release(ctx, e)
 			continue
 		}
@@ -64,7 +61,7 @@
 	}
 }
 
-// release ends a drain that has served its end.
+// release ends a drain that has served its end, or of an engine that is no longer managed.
 func (r *Reconciler) release(ctx context.Context, e Engine) {
 	if e.Draining {
 		r.fleet.Drain(ctx, e.Name, false)
--- a/core/scale/scale_test.go
+++ b/core/scale/scale_test.go
@@ -193,3 +193,46 @@
 		t.Errorf("short in %d minutes, %d to %d replicas", short, least, most)
 	}
 }
+
+// TestForecastKeepsAPeakWithinItsHour plays days whose rush begins at twenty past eight: the replicas that
+// the days before needed in that hour have to be there already.
+func TestForecastKeepsAPeakWithinItsHour(t *testing.T) {
+	var f scale.Forecast
+	at := time.Date(2026, 5, 4, 0, 0, 0, 0, time.UTC)
+	short := 0
+	for minute := range 3 * 24 * 60 {
+		now := at.Add(time.Duration(minute) * time.Minute)
+		inUse := 10.0
+		if m := minute % (24 * 60); m >= 8*60+20 && m < 12*60 {
+			inUse = 40
+		}
+		replicas := f.Replicas(now, false, inUse, 8, 1, 30)
+		if minute >= 24*60 && minute%(24*60) == 8*60+19 && replicas*8 < 40 {
+			short++
+		}
+		f.Observe(now, false, inUse)
+	}
+	if short > 0 {
+		t.Errorf("short before the rush on %d of 2 days", short)
+	}
+}
+
+// TestDrainEndsWithManagement takes an engine out of what is managed while capacity has it drained.
+func TestDrainEndsWithManagement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, true)
+		l := lease.New(fake.NewTable(), "capacity", "a", term)
+		wanted := wantAll(f, "night")
+		r := scale.NewReconciler(l, f, func() map[string][]string { return wanted() }, 0)
+		l.Step(t.Context())
+		r.Step(t.Context())
+		if len(f.drained) != 1 {
+			t.Fatalf("drains %v", f.drained)
+		}
+		wanted = func() map[string][]string { return nil }
+		r.Step(t.Context())
+		if len(f.drained) != 0 {
+			t.Error("the engine stays drained")
+		}
+	})
+}
