Make one piece serve where logic stood twice

Cause: the read of the whole change found the sign of a death decided in relay and in chain, HTTP with JSON written anew for the operators' calls and the load tool's, a mean rate computed to divide it out again, and a row kept for its version alone. Change: crash.SignOf; dial.Host with a key; slots summed directly.

--- a/core/chain/ride.go
+++ b/core/chain/ride.go
@@ -251,13 +251,7 @@
 	if r.engine.crashes == nil {
 		return
 	}
-	sign := crash.BrokeAtOnce
-	switch {
-	case isSilent(o):
-		sign = crash.FellSilent
-	case len(r.tokens) > len(r.attempt.Accepted()):
-		sign = crash.BrokeLater
-	}
+	sign := crash.SignOf(isSilent(o), len(r.tokens) > len(r.attempt.Accepted()))
 	if m, ok := r.engine.crashes.Died(r.fingerprint, u.Name(), u.DataCentre(), sign); ok {
 		r.engine.spread(m)
 	}
--- a/core/chain/stages.go
+++ b/core/chain/stages.go
@@ -156,16 +156,17 @@
 // setPrices prices each upstream by its part of the assigned work over its part of the capacity: a chain
 // avoids what would become the bottleneck, the more so the fuller the whole is.
 func (s *Stages) setPrices(options []Option) {
-	work, capacity := 0.0, 0.0
+	work, capacity, slots := 0.0, 0.0, 0.0
 	for i := range options {
 		work += s.find(options[i].Upstream.Name()).work
 		capacity += options[i].capacity()
+		slots += float64(max(options[i].Slots, 1))
 	}
 	if work == 0 {
 		return
 	}
 	// Work fills the whole when every slot has the layers of one chain assigned.
-	fullness := work / float64(s.layers) / (capacity / meanRate(options))
+	fullness := work / float64(s.layers) / slots
 	for i := range options {
 		o := &options[i]
 		relative := s.find(o.Upstream.Name()).work / work * capacity / o.capacity()
@@ -176,16 +177,6 @@
 // priceExponent makes the price steep about an even load.
 const priceExponent = 4
 
-// meanRate returns the layers a second of a slot, averaged over all slots.
-func meanRate(options []Option) float64 {
-	capacity, slots := 0.0, 0.0
-	for i := range options {
-		capacity += options[i].capacity()
-		slots += float64(max(options[i].Slots, 1))
-	}
-	return capacity / slots
-}
-
 // Failed keeps new chains from an upstream for a time that doubles with each failure in a row.
 func (s *Stages) Failed(name string) {
 	s.mu.Lock()
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -75,6 +75,17 @@
 	FellSilent              // nothing came any more, which a cut link shows as well
 )
 
+// SignOf returns the sign of a death by whether the upstream fell silent and whether the request had made progress.
+func SignOf(silent, progressed bool) Sign {
+	switch {
+	case silent:
+		return FellSilent
+	case progressed:
+		return BrokeLater
+	}
+	return BrokeAtOnce
+}
+
 // Mark says that an upstream died while it ran a request; nodes tell each other.
 type Mark struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -35,8 +35,8 @@
 	number  uint64    // of this holder's lease, or zero
 	sentAt  time.Time // of the last renewal that is known to have succeeded
 	tookAt  time.Time
-	seen    store.Row
-	seenRow row
+	seen    row
+	version uint64    // of the row as seen
 	seenAt  time.Time // when the row was first seen as it is
 }
 
@@ -121,8 +121,8 @@
 	if r.Version == 0 {
 		return true
 	}
-	if l.seenAt.IsZero() || current != l.seenRow || r.Version != l.seen.Version {
-		l.seen, l.seenRow = r, current
+	if l.seenAt.IsZero() || current != l.seen || r.Version != l.version {
+		l.seen, l.version = current, r.Version
 		// The row may have changed up to the moment of the answer.
 		l.seenAt = time.Now()
 		return false
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -191,16 +191,11 @@
 func (s *stream) blame(silent bool) {
 	n := s.run
 	u := s.attempt.upstream
-	sign := crash.BrokeAtOnce
-	switch {
-	case silent && !s.first && !s.grant.Reached():
+	if silent && !s.first && !s.grant.Reached() {
 		// It may have been out of reach all the time, and the request then never came there.
 		return
-	case silent:
-		sign = crash.FellSilent
-	case len(n.answer.texts) > 0:
-		sign = crash.BrokeLater
 	}
+	sign := crash.SignOf(silent, len(n.answer.texts) > 0)
 	if m, ok := n.relay.crashes.Died(n.request.fingerprint, u.Name(), u.DataCentre(), sign); ok {
 		n.relay.note(n, "suspect", s.attempt.id, u.Name(), string(m.Fingerprint))
 		n.relay.spread(m)
--- a/io/cli/fleet.go
+++ b/io/cli/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"net/http"
 	"os"
@@ -32,25 +31,9 @@
 func (f *fleet) ask(ctx context.Context, address, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	h := dial.NewHost("admin", address)
-	var body []byte
-	if in != nil {
-		var err error
-		if body, err = json.Marshal(in); err != nil {
-			return err
-		}
-	}
-	r, err := h.Request(ctx, method, path, body)
-	if err != nil {
-		return err
-	}
-	r.Header.Set("Authorization", "Bearer "+os.Getenv(daemon.EnvName("admin-key")))
-	resp, err := h.DoFresh(r)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return dial.Decode(resp, out)
+	h := dial.NewHost("admin", address, dial.WithKey(os.Getenv(daemon.EnvName("admin-key"))))
+	_, err := h.JSON(ctx, true, method, path, in, out)
+	return err
 }
 
 // addresses returns the operators' addresses of all nodes that those given know, and those given.
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -46,11 +46,21 @@
 	service httpc.Service
 	client  *http.Client
 	fresh   httpc.Service
+	key     string
 }
 
+// HostOption sets a part of a Host.
+type HostOption func(*Host)
+
+// WithKey sends a bearer key with every request.
+func WithKey(key string) HostOption { return func(h *Host) { h.key = key } }
+
 // NewHost returns a host for an IP:port address.
-func NewHost(name, address string) *Host {
+func NewHost(name, address string, opts ...HostOption) *Host {
 	h := &Host{name: name, address: address}
+	for _, o := range opts {
+		o(h)
+	}
 	h.renew()
 	client := &http.Client{Transport: transport(true)}
 	h.fresh = httpc.NewServiceWithClient(name+"@"+address+"/fresh", client)
@@ -116,6 +126,9 @@
 	if err != nil {
 		return nil, &Error{detail: err.Error()}
 	}
+	if h.key != "" {
+		r.Header.Set("Authorization", "Bearer "+h.key)
+	}
 	if len(body) > 0 {
 		r.Header.Set("Content-Type", "application/json")
 	}
@@ -145,11 +158,11 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode, Decode(resp, out)
+	return resp.StatusCode, decode(resp, out)
 }
 
-// Decode reads an answer into a value; a status that is not 2xx is an *Error.
-func Decode(resp *http.Response, out any) error {
+// decode reads an answer into a value; a status that is not 2xx is an *Error.
+func decode(resp *http.Response, out any) error {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return &Error{sent: true, detail: err.Error()}
--- a/io/load/door.go
+++ b/io/load/door.go
@@ -2,23 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
+
+	"rhubarbspread/io/dial"
 )
 
 // ask reads JSON from the demo's fault door.
 func (r *run) ask(ctx context.Context, path string, out any) error {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.config.Faults+path, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := r.client.Do(q)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(out)
+	_, err := dial.NewHost("faults", r.config.Faults).JSON(ctx, true, http.MethodGet, path, nil, out)
+	return err
 }
 
 // askOracle takes the bound and the executions.
