--- a/core/chain/plan_test.go
+++ b/core/chain/plan_test.go
@@ -85,6 +85,22 @@
 	t.Logf("measure=plan worst-over-optimum=%.4f", worst)
 }
 
+// TestPlanKeepsAStageWhole is a case in which a price that grew with a stage's own layers made one stage
+// cost 1.625 of the same layers taken in pieces.
+func TestPlanKeepsAStageWhole(t *testing.T) {
+	var options []Option
+	for i, r := range []Range{{0, 1}, {0, 1}, {0, 1}, {0, 2}, {2, 8}} {
+		options = append(options, Option{
+			Upstream: route.NewUpstream(fmt.Sprintf("u-%d", i), "127.0.0.1:1", "dc", "m", route.WithLayers(r.From, r.To)),
+			Rate:     100, Slots: 1,
+		})
+	}
+	plan := Make(options, Range{0, 8})
+	if ratio := costOf(options, plan) / cheapest(options, 0, 8); ratio > 1.05 {
+		t.Errorf("costs %.3f of the best", ratio)
+	}
+}
+
 func BenchmarkMake(b *testing.B) {
 	for _, upstreams := range []int{4, 40, 400} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
