--- /dev/null
+++ b/core/board/board.go
@@ -0,0 +1,232 @@
+package board
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"rhubarbspread/core/fleet"
+)
+
+// Key tells an upstream's lives apart.
+type Key struct {
+	ID   string
+	Born int64
+}
+
+// KeyOf returns the key of an upstream's present life.
+func KeyOf(u *fleet.Upstream) Key { return Key{u.ID, u.Born} }
+
+// state is what is known of one life of an upstream.
+type state struct {
+	held      float64   // tokens x layers reserved by this node's requests
+	running   int       // this node's requests that pass through it
+	first     int       // those that were sent to it
+	reading   float64   // prompt tokens x layers of those without an event yet
+	others    Claim     // of the other nodes together
+	fullUntil time.Time // it said that it takes nothing more
+	deadUntil time.Time // it fell silent or broke connections
+	strikes   int       // such signs in a row
+	errors    float64   // share of its latest answers that failed, decayed
+	took      float64   // mean time of a plain answer, ms, decayed
+}
+
+// Claim is what nodes hold on one upstream.
+type Claim struct {
+	Held    float64 // tokens x layers
+	Running int
+	First   int
+	Reading float64 // prompt tokens x layers
+}
+
+// add adds up the claims of several nodes.
+func (c Claim) add(d Claim) Claim {
+	return Claim{c.Held + d.Held, c.Running + d.Running, c.First + d.First, c.Reading + d.Reading}
+}
+
+// Board is safe for use by several goroutines.
+type Board struct {
+	mu     sync.Mutex
+	now    func() time.Time
+	random *rand.Rand
+	states map[Key]*state
+	peers  map[string]peerClaims
+	freed  chan struct{} // closed and replaced when room may have come free
+	nodes  int
+}
+
+// peerClaims is what another node told last.
+type peerClaims struct {
+	at     time.Time
+	claims map[Key]Claim
+}
+
+// Option sets a part of a Board.
+type Option func(*Board)
+
+// WithClock sets the source of time.
+func WithClock(now func() time.Time) Option { return func(b *Board) { b.now = now } }
+
+// WithSeed fixes the choices among equals.
+func WithSeed(seed uint64) Option {
+	return func(b *Board) { b.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns an empty board.
+func New(opts ...Option) *Board {
+	b := &Board{
+		now:    time.Now,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		states: make(map[Key]*state),
+		peers:  make(map[string]peerClaims),
+		freed:  make(chan struct{}),
+		nodes:  1,
+	}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
+
+// SetNodes tells how many nodes share the upstreams' connections.
+func (b *Board) SetNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(1, n)
+}
+
+// Keep forgets upstreams that are gone and wakes what waits for room.
+func (b *Board) Keep(list *fleet.List) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k, s := range b.states {
+		u := list.Get(k.ID)
+		if (u == nil || u.Born != k.Born) && s.running == 0 && s.first == 0 {
+			delete(b.states, k)
+		}
+	}
+	b.wake()
+}
+
+// Freed returns a channel that is closed when room may have come free.
+func (b *Board) Freed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.freed
+}
+
+func (b *Board) wake() {
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
+
+func (b *Board) state(k Key) *state {
+	s := b.states[k]
+	if s == nil {
+		s = &state{}
+		b.states[k] = s
+	}
+	return s
+}
+
+// Times of evidence.
+const (
+	fullTime   = 150 * time.Millisecond // a refusal for want of room says little about later than a few answers
+	strikeTime = 400 * time.Millisecond // first rest of an upstream that broke or fell silent
+	restLimit  = 3 * time.Second        // longest rest between two trials of such an upstream
+	errorDecay = 0.2                    // weight of the latest answer in the share of failures
+	claimLife  = 2 * time.Second        // after which another node's claims no longer count
+)
+
+// Full notes that an upstream refused for want of room.
+func (b *Board) Full(k Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(k).fullUntil = b.now().Add(fullTime)
+}
+
+// Strike notes that an upstream broke a connection, fell silent or can't be reached, and returns how long it rests.
+func (b *Board) Strike(k Key) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(k)
+	now := b.now()
+	if now.Before(s.deadUntil) {
+		return s.deadUntil.Sub(now) // one loss is seen by many requests
+	}
+	rest := min(strikeTime<<min(s.strikes, 4), restLimit)
+	s.strikes++
+	s.deadUntil = now.Add(rest)
+	return rest
+}
+
+// Resting reports whether an upstream rests after a strike.
+func (b *Board) Resting(k Key) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[k]
+	return s != nil && b.now().Before(s.deadUntil)
+}
+
+// Alive notes that an upstream answered; took is the time of a plain answer, or 0.
+func (b *Board) Alive(k Key, failed bool, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(k)
+	if !failed {
+		s.strikes = 0
+		s.deadUntil = time.Time{}
+	}
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	s.errors += errorDecay * (share - s.errors)
+	if took > 0 {
+		ms := float64(took) / float64(time.Millisecond)
+		if s.took == 0 {
+			s.took = ms
+		}
+		s.took += errorDecay * (ms - s.took)
+	}
+}
+
+// Claims returns what this node's requests hold.
+func (b *Board) Claims() map[Key]Claim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := make(map[Key]Claim, len(b.states))
+	for k, s := range b.states {
+		if s.running > 0 || s.first > 0 {
+			m[k] = s.own()
+		}
+	}
+	return m
+}
+
+func (s *state) own() Claim { return Claim{s.held, s.running, s.first, s.reading} }
+
+// PeerClaims notes what another node holds.
+func (b *Board) PeerClaims(node string, claims map[Key]Claim) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[node] = peerClaims{at: b.now(), claims: claims}
+	b.sumPeers()
+}
+
+func (b *Board) sumPeers() {
+	for _, s := range b.states {
+		s.others = Claim{}
+	}
+	now := b.now()
+	for node, p := range b.peers {
+		if now.Sub(p.at) > claimLife {
+			delete(b.peers, node)
+			continue
+		}
+		for k, c := range p.claims {
+			s := b.state(k)
+			s.others = s.others.add(c)
+		}
+	}
+}
--- /dev/null
+++ b/core/board/path.go
@@ -0,0 +1,258 @@
+package board
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/rules"
+)
+
+// Need is what a generation asks of a path.
+type Need struct {
+	Engine     *rules.Engine
+	DataCentre string  // of the node
+	Prompt     float64 // tokens to read
+	Output     float64 // tokens that it is expected to write
+	Exclude    []string
+}
+
+// Estimate is the predicted course of a generation on a path.
+type Estimate struct {
+	First time.Duration // to its first event
+	Pause time.Duration // between events
+}
+
+// Weights of the choice of a path.
+const (
+	roomReserve  = 0.97                  // share of an upstream's room that may be reserved
+	scarcity     = 60 * time.Millisecond // cost of a part on an upstream without room left, for all layers
+	foreignFirst = 2 * time.Millisecond  // cost of a first part in another data centre, for the bytes between them
+)
+
+// Path picks the path with the least expected time that has room on each part, or returns nil. Each layer is
+// run once and in order, each part on an upstream that holds it.
+func (b *Board) Path(list []*fleet.Upstream, n *Need) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	hops := b.search(list, n, false)
+	if hops == nil {
+		hops = b.search(list, n, true)
+	}
+	if hops == nil || twice(hops) {
+		return nil
+	}
+	t := &Ticket{board: b, Upstream: hops[0].Upstream, Hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt}
+	t.Expected = b.estimate(n, hops)
+	for _, h := range hops {
+		s := b.state(KeyOf(h.Upstream))
+		s.running++
+		s.held += t.tokens * float64(h.Layers.Len())
+		s.reading += t.prompt * float64(h.Layers.Len())
+	}
+	b.state(KeyOf(t.Upstream)).first++
+	return t
+}
+
+// place is a search state: all layers before layer are run, the last of them in a data centre.
+type place struct {
+	layer  int
+	centre string
+}
+
+type step struct {
+	cost float64 // ms
+	from place
+	hop  Hop
+	done bool
+}
+
+// search runs Dijkstra's algorithm over layers and data centres. Resting upstreams take part only where asked.
+func (b *Board) search(list []*fleet.Upstream, n *Need, resting bool) []Hop {
+	usable := b.usable(list, n, resting)
+	cuts := boundaries(usable, n.Engine.Layers)
+	best := map[place]*step{{0, ""}: {}}
+	for {
+		at, s := nearest(best)
+		if s == nil {
+			return nil
+		}
+		if at.layer == n.Engine.Layers {
+			return unwind(best, at)
+		}
+		s.done = true
+		for _, c := range usable {
+			u := c.upstream
+			if at.layer < u.Layers.From || at.layer >= u.Layers.To {
+				continue
+			}
+			for _, end := range cuts {
+				if end <= at.layer || end > u.Layers.To {
+					continue
+				}
+				layers := fleet.Range{From: at.layer, To: end}
+				cost, ok := c.cost(n, layers, at.centre)
+				if !ok {
+					continue
+				}
+				to := place{end, u.DataCentre}
+				if known := best[to]; known == nil || !known.done && s.cost+cost < known.cost {
+					best[to] = &step{cost: s.cost + cost, from: at, hop: Hop{u, layers}}
+				}
+			}
+		}
+	}
+}
+
+// twice reports whether an upstream has two parts of a path, which upstreams refuse.
+func twice(hops []Hop) bool {
+	for i, h := range hops {
+		for _, g := range hops[:i] {
+			if g.Upstream == h.Upstream {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func nearest(best map[place]*step) (place, *step) {
+	var at place
+	var least *step
+	for p, s := range best {
+		if !s.done && (least == nil || s.cost < least.cost) {
+			at, least = p, s
+		}
+	}
+	return at, least
+}
+
+func unwind(best map[place]*step, at place) []Hop {
+	var hops []Hop
+	for at.layer > 0 {
+		s := best[at]
+		if last := len(hops) - 1; last >= 0 && hops[last].Upstream == s.hop.Upstream {
+			hops[last].Layers.From = s.hop.Layers.From
+		} else {
+			hops = append(hops, s.hop)
+		}
+		at = s.from
+	}
+	slices.Reverse(hops)
+	return hops
+}
+
+// boundaries returns the layers at which a part may end: where another upstream begins or one ends.
+func boundaries(usable []candidate, layers int) []int {
+	seen := make([]bool, layers+1)
+	for _, c := range usable {
+		seen[c.upstream.Layers.From] = true
+		seen[c.upstream.Layers.To] = true
+	}
+	var cuts []int
+	for i, is := range seen {
+		if is && i > 0 {
+			cuts = append(cuts, i)
+		}
+	}
+	return cuts
+}
+
+// candidate is an upstream that may take a part, with what the cost of a part depends on.
+type candidate struct {
+	upstream *fleet.Upstream
+	card     rules.Card
+	room     float64 // tokens x layers that are free
+	total    float64
+	writers  float64
+	reading  float64 // prompt tokens x layers before it
+	noFirst  bool    // its slots are taken
+}
+
+func (b *Board) usable(list []*fleet.Upstream, n *Need, resting bool) []candidate {
+	now := b.now()
+	var usable []candidate
+	for _, u := range list {
+		card, ok := n.Engine.Kinds[u.Card]
+		if !ok || u.Draining || u.Layers.Len() == 0 || u.Layers.From < 0 || u.Layers.To > n.Engine.Layers || contains(n.Exclude, u.ID) {
+			continue
+		}
+		s := b.state(KeyOf(u))
+		if now.Before(s.fullUntil) || now.Before(s.deadUntil) && !resting {
+			continue
+		}
+		total := n.Engine.Room(card, u.Layers.Len()) * roomReserve
+		usable = append(usable, candidate{
+			upstream: u, card: card, total: total,
+			room:    total - s.held - s.others.Held,
+			writers: float64(s.running + s.others.Running),
+			reading: s.reading + s.others.Reading,
+			noFirst: s.first+s.others.First >= u.Slots,
+		})
+	}
+	return usable
+}
+
+// cost returns the time in ms that a part adds to a generation, and whether the part has room.
+func (c *candidate) cost(n *Need, layers fleet.Range, centre string) (float64, bool) {
+	need := (n.Prompt + n.Output) * float64(layers.Len())
+	if need > c.room || layers.From == 0 && c.noFirst {
+		return 0, false
+	}
+	read, pass := c.times(n, layers, centre)
+	fullness := 1 - c.room/c.total // the same for all parts, so that cutting a part in two gains nothing
+	price := float64(scarcity) * fullness * fullness * float64(layers.Len()) / float64(n.Engine.Layers)
+	if layers.From == 0 && c.upstream.DataCentre != n.DataCentre {
+		price += float64(foreignFirst)
+	}
+	passes := n.Output / float64(n.Engine.Stride)
+	return (float64(read) + passes*float64(pass) + price) / float64(time.Millisecond), true
+}
+
+// Units of an engine's figures.
+const (
+	perContext = 1000 // tokens
+	perPairs   = 1e6
+)
+
+// times returns how long a part takes to read the prompt, with what waits before it, and for one pass.
+func (c *candidate) times(n *Need, layers fleet.Range, centre string) (read, pass time.Duration) {
+	e := n.Engine
+	share := float64(layers.Len()) / float64(e.Layers)
+	second := float64(time.Second)
+	waiting := c.reading / float64(e.Layers) / e.ReadPerSecond * second * c.card.Read
+	own := (n.Prompt/e.ReadPerSecond*second + float64(e.Pairs)*n.Prompt*n.Prompt/2/perPairs) * c.card.Read * share
+	context := (n.Prompt + n.Output/2) / perContext
+	writers := c.writers + 1
+	one := (float64(e.Step) + writers*(float64(e.PerWriter)+float64(e.PerContext)*context)) * c.card.Pace * share
+	crossing := 0.0
+	if centre != "" && centre != c.upstream.DataCentre {
+		crossing = float64(e.Delay)
+		own += n.Prompt * e.ActivationBytes * bitsPerByte / (e.Pipe * bitsPerMegabit) * second
+	}
+	return time.Duration(waiting + own + one + crossing), time.Duration(float64(e.Stride) * (one + crossing))
+}
+
+const (
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
+)
+
+// estimate predicts the course of a generation on a path.
+func (b *Board) estimate(n *Need, hops []Hop) Estimate {
+	var e Estimate
+	centre := ""
+	for _, h := range hops {
+		s := b.state(KeyOf(h.Upstream))
+		c := candidate{
+			upstream: h.Upstream, card: n.Engine.Kinds[h.Upstream.Card],
+			writers: float64(s.running + s.others.Running), reading: s.reading + s.others.Reading,
+		}
+		read, pass := c.times(n, h.Layers, centre)
+		e.First += read
+		e.Pause += pass
+		centre = h.Upstream.DataCentre
+	}
+	e.First += e.Pause
+	return e
+}
--- /dev/null
+++ b/core/board/plain.go
@@ -0,0 +1,106 @@
+package board
+
+import (
+	"rhubarbspread/core/fleet"
+)
+
+// Ticket is a reservation that ends with Release.
+type Ticket struct {
+	board    *Board
+	Upstream *fleet.Upstream // to which the request is sent
+	Hops     []Hop           // of a path, in the order of layers; none for a plain service
+	Expected Estimate
+	tokens   float64
+	prompt   float64
+	read     bool
+}
+
+// Hop is one part of a path.
+type Hop struct {
+	Upstream *fleet.Upstream
+	Layers   fleet.Range
+}
+
+// queueSlack is how many requests beyond a plain upstream's slots are sent to it, to wait in its own queue.
+const queueSlack = 4
+
+// errorWeight is how many waiting requests an upstream that fails all its answers is thought to have.
+const errorWeight = 12
+
+// Plain picks the upstream of a plain service with the shortest expected wait, or returns nil if all are full.
+func (b *Board) Plain(list []*fleet.Upstream, exclude []string) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var best, resting *fleet.Upstream
+	least := 0.0
+	for _, u := range list {
+		if u.Draining || contains(exclude, u.ID) {
+			continue
+		}
+		s := b.state(KeyOf(u))
+		if now.Before(s.deadUntil) {
+			resting = u
+			continue
+		}
+		running := float64(s.first + s.others.First)
+		if now.Before(s.fullUntil) || running >= float64(u.Slots+queueSlack) {
+			continue
+		}
+		load := (running+1)/float64(u.Slots)*max(1, s.took) + s.errors*errorWeight*max(1, s.took) + 0.01*b.random.Float64()
+		if best == nil || load < least {
+			best, least = u, load
+		}
+	}
+	if best == nil {
+		best = resting // evidence against all of them is no better than none
+	}
+	if best == nil {
+		return nil
+	}
+	b.state(KeyOf(best)).first++
+	return &Ticket{board: b, Upstream: best}
+}
+
+func contains(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Reading notes that a path's first event came, so that the prompt has been read.
+func (t *Ticket) Reading() {
+	b := t.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.endReading()
+}
+
+func (t *Ticket) endReading() {
+	if t.read {
+		return
+	}
+	t.read = true
+	for _, h := range t.Hops {
+		s := t.board.state(KeyOf(h.Upstream))
+		s.reading = max(0, s.reading-t.prompt*float64(h.Layers.Len()))
+	}
+}
+
+// Release gives the room back.
+func (t *Ticket) Release() {
+	b := t.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.endReading()
+	b.state(KeyOf(t.Upstream)).first--
+	for _, h := range t.Hops {
+		s := b.state(KeyOf(h.Upstream))
+		s.running--
+		s.held = max(0, s.held-t.tokens*float64(h.Layers.Len()))
+	}
+	b.wake()
+}
--- /dev/null
+++ b/core/carry/carry.go
@@ -0,0 +1,249 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/reply"
+	"rhubarbspread/core/rules"
+
+	"github.com/go-logr/logr"
+)
+
+// Spender is the budget for sending a request once more.
+type Spender interface {
+	First(service string)
+	Take(service string) bool
+}
+
+// Carrier runs callers' requests for one node.
+type Carrier struct {
+	transport Transport
+	board     *board.Board
+	world     World
+	budget    Spender
+	log       logr.Logger
+}
+
+// New returns a carrier.
+func New(t Transport, b *board.Board, w World, budget Spender, log logr.Logger) *Carrier {
+	return &Carrier{transport: t, board: b, world: w, budget: budget, log: log}
+}
+
+// Refusal is the final answer of a request that got none from an upstream.
+type Refusal struct {
+	Status     int
+	Cause      string
+	RetryAfter time.Duration // 0 for none
+}
+
+// Error returns the status and cause.
+func (r *Refusal) Error() string { return fmt.Sprintf("%d: %s", r.Status, r.Cause) }
+
+// ErrBroken is a stream that broke off after the caller had a part of it, so that the caller's connection
+// must break too.
+var ErrBroken = errors.New("the stream broke off")
+
+// ErrGone is a caller that went away.
+var ErrGone = errors.New("the caller went away")
+
+// Constants of attempts.
+const (
+	waitForRoom    = 450 * time.Millisecond // longest wait for a place; later answers miss most objectives
+	wholeAnswer    = 1 << 20                // bytes of a plain answer that are held back until it is whole
+	unreachable    = 3                      // attempts that reached nobody, after which a request is refused
+	returnSoon     = 500 * time.Millisecond // shortest time after which a refused caller is asked back
+	minimumToTry   = 5 * time.Millisecond   // no attempt begins with less time than this
+	hangObjective  = 1.0                    // of its objective that an upstream may take before another is tried
+	lowestPriority = 9                      // that an upstream knows
+)
+
+// run is the state of one request.
+type run struct {
+	c        *Carrier
+	q        *Request
+	sink     Sink
+	account  reply.Account
+	arrivals int // attempts that may have reached an upstream
+	missed   int // attempts that reached nobody
+	ran      int // attempts that may have run
+	exclude  []string
+	paid     bool  // the next attempt has been taken from the budget
+	begun    bool  // the caller has the headers
+	last     int64 // ID of the latest event that the caller has
+	lastText string
+	started  time.Time
+}
+
+// Run carries a request to its end. Its error is a *Refusal, ErrBroken or ErrGone.
+func (c *Carrier) Run(ctx context.Context, q *Request, sink Sink) error {
+	r := &run{c: c, q: q, sink: sink, last: noID, lastText: q.LastEvent, started: time.Now()}
+	c.budget.First(q.Service.Name)
+	ctx, cancel := context.WithDeadline(ctx, q.Until)
+	defer cancel()
+	for {
+		t, err := r.reserve(ctx)
+		if err != nil {
+			return r.end(ctx, err)
+		}
+		outcome := r.attempt(ctx, t)
+		t.Release()
+		r.account.Add(outcome)
+		if _, ok := outcome.(reply.Done); ok {
+			return r.end(ctx, nil)
+		}
+		if err := r.mayRepeat(ctx, outcome); err != nil {
+			return r.end(ctx, err)
+		}
+	}
+}
+
+// end logs how a request ended.
+func (r *run) end(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		err = ErrGone
+	}
+	outcome := "done"
+	if err != nil {
+		outcome = err.Error()
+	}
+	r.c.log.Info("request-end", "request", r.q.ID, "route", r.q.Route.Name, "team", r.q.Team.Name, "outcome", outcome,
+		"attempts", r.account.Attempts(), "run-state", r.account.State(), "ms", time.Since(r.started).Milliseconds())
+	return err
+}
+
+// reserve waits until an upstream or a path has room for the request.
+func (r *run) reserve(ctx context.Context) (*board.Ticket, error) {
+	until := time.NewTimer(waitForRoom)
+	defer until.Stop()
+	for {
+		freed := r.c.board.Freed()
+		if t := r.pick(); t != nil {
+			return t, nil
+		}
+		select {
+		case <-freed:
+		case <-until.C:
+			return nil, r.refusal("no upstream has room")
+		case <-ctx.Done():
+			return nil, r.refusal("its time is over")
+		}
+	}
+}
+
+func (r *run) pick() *board.Ticket {
+	q := r.q
+	list := r.c.world.Upstreams(q.Service.Name)
+	if q.Service.Engine == nil {
+		return r.c.board.Plain(list, r.exclude)
+	}
+	return r.c.board.Path(list, &board.Need{
+		Engine:     q.Service.Engine,
+		DataCentre: r.c.world.DataCentre(),
+		Prompt:     float64(q.Prompt),
+		Output:     r.expectedOutput(),
+		Exclude:    r.exclude,
+	})
+}
+
+// expectedOutput returns how many tokens the request will write: the caller's hint, within its maximum.
+func (r *run) expectedOutput() float64 {
+	q := r.q
+	most := float64(q.MostOutput)
+	if most == 0 {
+		most = q.Service.Engine.Answer
+	}
+	if q.Hint == 0 {
+		return min(most, q.Service.Engine.Answer)
+	}
+	return min(most, float64(q.Hint))
+}
+
+// attempt makes one attempt and says how it ended.
+func (r *run) attempt(ctx context.Context, t *board.Ticket) reply.Outcome {
+	began := time.Now()
+	outcome := r.send(ctx, t)
+	r.c.log.V(1).Info("attempt-end", "request", r.q.ID, "upstream", t.Upstream.ID, "parts", len(t.Hops),
+		"outcome", reply.Reason(outcome), "ms", time.Since(began).Milliseconds())
+	return outcome
+}
+
+func (r *run) send(ctx context.Context, t *board.Ticket) reply.Outcome {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s := &Send{
+		Request: r.q, Upstream: t.Upstream, Hops: t.Hops, Left: time.Until(r.q.Until), LastEvent: r.lastText,
+		Team: r.q.Team.Name, Priority: -1,
+	}
+	if r.q.Service.Engine != nil {
+		s.Priority = min(lowestPriority, max(0, r.q.priority()))
+	}
+	if r.q.Route.Kind == rules.Streaming {
+		return r.stream(ctx, cancel, t, s)
+	}
+	return r.whole(ctx, t, s)
+}
+
+// whole makes an attempt whose answer is passed on once it is complete.
+func (r *run) whole(ctx context.Context, t *board.Ticket, s *Send) reply.Outcome {
+	if r.mayTryOther() && r.q.Route.Objective > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(hangObjective*float64(r.q.Route.Objective)), errSlow)
+		defer cancel()
+	}
+	began := time.Now()
+	key := board.KeyOf(t.Upstream)
+	a, err := r.c.transport.Send(ctx, s)
+	if err != nil {
+		return r.unsent(ctx, key, err)
+	}
+	defer a.Body.Close()
+	if outcome := r.refused(t, a); outcome != nil {
+		return outcome
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswer))
+	if err != nil {
+		r.c.board.Strike(key)
+		r.excludeOne(t.Upstream.ID)
+		return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+	}
+	r.c.board.Alive(key, a.Status >= http.StatusInternalServerError, time.Since(began))
+	if a.Status >= http.StatusInternalServerError && r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
+		r.excludeOne(t.Upstream.ID)
+		r.paid = true
+		return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+	}
+	r.sink.Begin(a.Status, a.Header)
+	r.begun = true
+	if err := r.sink.Write(body); err != nil {
+		return reply.NewUnknown(reply.Canceled, err.Error())
+	}
+	if len(body) == wholeAnswer {
+		return r.rest(a)
+	}
+	return reply.Done{}
+}
+
+// rest passes on what is left of a large answer.
+func (r *run) rest(a *Answer) reply.Outcome {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 {
+			if err := r.sink.Write(buffer[:n]); err != nil {
+				return reply.NewUnknown(reply.Canceled, err.Error())
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return reply.Done{}
+		}
+		if err != nil {
+			return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/core/carry/repeat.go
@@ -0,0 +1,135 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/reply"
+)
+
+// Reasons for which an attempt is given up.
+var (
+	errSlow   = errors.New("no answer within the objective")
+	errSilent = errors.New("the stream fell silent")
+)
+
+// mayTryOther reports whether the route allows one more attempt after one that may have run.
+func (r *run) mayTryOther() bool {
+	return r.q.Route.Repeatable() && r.ran+1 < r.q.Route.Attempts && time.Until(r.q.Until) > minimumToTry
+}
+
+// mayRepeat returns nil if another attempt may follow an outcome, else how the request ends.
+func (r *run) mayRepeat(ctx context.Context, o reply.Outcome) error {
+	if ctx.Err() != nil {
+		return r.failure("its time is over", http.StatusGatewayTimeout)
+	}
+	switch o := o.(type) {
+	case reply.NotSent:
+		r.missed++
+		if r.missed >= unreachable {
+			return r.failure(reply.Reason(o), http.StatusBadGateway)
+		}
+		return nil
+	case reply.Refused:
+		r.arrivals++
+		if r.arrivals >= max(2, r.q.Route.Attempts) {
+			return r.failure("upstreams refused: "+reply.Reason(o), http.StatusBadGateway)
+		}
+	case reply.Unknown:
+		if o.Fault() == reply.Canceled {
+			return ErrGone
+		}
+		r.arrivals++
+		r.ran++
+		if !r.q.Route.Repeatable() || r.ran >= r.q.Route.Attempts || r.begun && r.q.Route.Kind != streaming {
+			return r.failure(reply.Reason(o), statusOf(o))
+		}
+	}
+	if r.paid {
+		r.paid = false
+		return nil
+	}
+	if !r.c.budget.Take(r.q.Service.Name) {
+		return r.failure("the budget for repeats is spent; "+reply.Reason(o), http.StatusBadGateway)
+	}
+	return nil
+}
+
+func statusOf(o reply.Unknown) int {
+	if o.Fault() == reply.Silent {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// failure ends a request whose attempts failed: as not run only if none of them may have run.
+func (r *run) failure(cause string, status int) error {
+	if r.begun {
+		return ErrBroken
+	}
+	if r.account.State() == reply.NotRun {
+		return r.refusal(cause)
+	}
+	return &Refusal{Status: status, Cause: cause}
+}
+
+// refusal ends a request that waits for an upstream: with a promise that it has not run if that is so.
+func (r *run) refusal(cause string) error {
+	if r.account.State() != reply.NotRun {
+		return r.failure(cause, http.StatusBadGateway)
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: returnSoon}
+}
+
+// unsent turns the transport's error into an outcome.
+func (r *run) unsent(ctx context.Context, key board.Key, err error) reply.Outcome {
+	var e *SendError
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSlow), errors.Is(cause, errSilent):
+		r.c.board.Alive(key, true, 0)
+		r.excludeOne(key.ID)
+		return reply.NewUnknown(reply.Silent, cause.Error())
+	case errors.Is(cause, context.Canceled):
+		return reply.NewUnknown(reply.Canceled, "the caller went away")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return reply.NewUnknown(reply.Silent, "its time is over")
+	}
+	r.excludeOne(key.ID)
+	r.c.board.Strike(key)
+	if errors.As(err, &e) && !e.Sent() {
+		return reply.NewNotSent(err.Error())
+	}
+	return reply.NewUnknown(reply.Broken, err.Error())
+}
+
+// refused returns the outcome of an answer that is none of the request's, or nil.
+func (r *run) refused(t *board.Ticket, a *Answer) reply.Outcome {
+	key := board.KeyOf(t.Upstream)
+	switch {
+	case a.NotRun:
+		culprit := r.culprit(t, a.Culprit)
+		r.excludeOne(culprit.ID)
+		r.c.board.Full(culprit)
+		return reply.NewRefused(a.Status, "refused by "+culprit.ID, 0)
+	case a.Foreign || a.Status < http.StatusMultipleChoices && !a.Sealed:
+		r.excludeOne(key.ID)
+		r.c.board.Alive(key, true, 0)
+		return reply.NewUnknown(reply.Broken, "the answer is not the upstream's own to this request")
+	}
+	return nil
+}
+
+// culprit returns the part at the address that a refusal names, or the upstream that sent it.
+func (r *run) culprit(t *board.Ticket, address string) board.Key {
+	for _, h := range t.Hops {
+		if h.Upstream.Address == address {
+			return board.KeyOf(h.Upstream)
+		}
+	}
+	return board.KeyOf(t.Upstream)
+}
+
+func (r *run) excludeOne(id string) { r.exclude = append(r.exclude, id) }
--- /dev/null
+++ b/core/carry/stream.go
@@ -0,0 +1,155 @@
+package carry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/reply"
+	"rhubarbspread/core/rules"
+)
+
+const streaming = rules.Streaming
+
+// Silence that makes a stream's attempt be given up: a multiple of what is predicted, within bounds. Callers leave
+// after two seconds or more without an event.
+const (
+	firstFactor  = 3
+	firstLeast   = 500 * time.Millisecond
+	firstMost    = 1200 * time.Millisecond
+	pauseFactor  = 6
+	pauseLeast   = 300 * time.Millisecond
+	pauseMost    = 900 * time.Millisecond
+	eventsBuffer = 4 << 10 // bytes
+)
+
+func silenceBefore(e board.Estimate) time.Duration {
+	return min(firstMost, max(firstLeast, firstFactor*e.First))
+}
+
+func silenceBetween(e board.Estimate) time.Duration {
+	return min(pauseMost, max(pauseLeast, pauseFactor*e.Pause))
+}
+
+// stream makes an attempt whose events are passed on one by one.
+func (r *run) stream(ctx context.Context, cancel context.CancelCauseFunc, t *board.Ticket, s *Send) reply.Outcome {
+	key := board.KeyOf(t.Upstream)
+	var watch *time.Timer
+	if r.mayTryOther() {
+		watch = time.AfterFunc(silenceBefore(t.Expected), func() { cancel(errSilent) })
+	} else {
+		watch = time.AfterFunc(s.Left, func() { cancel(errSilent) })
+	}
+	defer watch.Stop()
+	a, err := r.c.transport.Send(ctx, s)
+	if err != nil {
+		return r.unsent(ctx, key, err)
+	}
+	defer a.Body.Close()
+	if outcome := r.refused(t, a); outcome != nil {
+		return outcome
+	}
+	if a.Status != http.StatusOK {
+		return r.failed(t, a)
+	}
+	return r.events(ctx, t, a, watch)
+}
+
+// failed passes on an upstream's own failure, or has another tried.
+func (r *run) failed(t *board.Ticket, a *Answer) reply.Outcome {
+	r.c.board.Alive(board.KeyOf(t.Upstream), true, 0)
+	r.excludeOne(t.Upstream.ID)
+	if r.begun || r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
+		r.paid = true
+		return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswer))
+	if err != nil {
+		return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+	}
+	r.sink.Begin(a.Status, a.Header)
+	r.begun = true
+	if err := r.sink.Write(body); err != nil {
+		return reply.NewUnknown(reply.Canceled, err.Error())
+	}
+	return reply.Done{}
+}
+
+// events passes on whole events until the stream ends.
+func (r *run) events(ctx context.Context, t *board.Ticket, a *Answer, watch *time.Timer) reply.Outcome {
+	in := bufio.NewReaderSize(a.Body, eventsBuffer)
+	first := true
+	for {
+		e, err := readEvent(in)
+		if errors.Is(err, io.EOF) {
+			return r.whole200(t, a)
+		}
+		if err != nil {
+			return r.brokeOff(ctx, t, err)
+		}
+		if e.id != noID && r.last != noID && e.id <= r.last {
+			continue // the caller has it
+		}
+		if e.id != noID && r.last != noID && e.id != r.last+1 {
+			return reply.NewUnknown(reply.Failed, fmt.Sprintf("event %d came after %d", e.id, r.last))
+		}
+		if first {
+			first = false
+			t.Reading()
+			r.c.board.Alive(board.KeyOf(t.Upstream), false, 0)
+		}
+		watch.Reset(r.patience(t))
+		if !r.begun {
+			r.begun = true
+			r.sink.Begin(a.Status, a.Header)
+		}
+		if err := r.sink.Write(e.raw); err != nil {
+			return reply.NewUnknown(reply.Canceled, err.Error())
+		}
+		if e.id != noID {
+			r.last = e.id
+			r.lastText = strconv.FormatInt(e.id, 10)
+		}
+	}
+}
+
+// patience returns how long the next event may take.
+func (r *run) patience(t *board.Ticket) time.Duration {
+	if r.mayTryOther() {
+		return silenceBetween(t.Expected)
+	}
+	return time.Until(r.q.Until)
+}
+
+// whole200 ends a stream that came to its end.
+func (r *run) whole200(t *board.Ticket, a *Answer) reply.Outcome {
+	r.c.board.Alive(board.KeyOf(t.Upstream), false, 0)
+	if !r.begun {
+		r.begun = true
+		r.sink.Begin(a.Status, a.Header)
+	}
+	return reply.Done{}
+}
+
+// brokeOff says how a stream ended that has no end.
+func (r *run) brokeOff(ctx context.Context, t *board.Ticket, err error) reply.Outcome {
+	key := board.KeyOf(t.Upstream)
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
+		r.c.board.Strike(key)
+		r.excludeOne(key.ID)
+		return reply.NewUnknown(reply.Silent, cause.Error())
+	case errors.Is(cause, context.Canceled):
+		return reply.NewUnknown(reply.Canceled, "the caller went away")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return reply.NewUnknown(reply.Silent, "its time is over")
+	}
+	r.excludeOne(key.ID)
+	return reply.NewUnknown(reply.Broken, "the stream broke off: "+err.Error())
+}
--- /dev/null
+++ b/core/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet holds the upstreams as the platform lists them.
+package fleet
--- /dev/null
+++ b/core/rules/engine.go
@@ -0,0 +1,48 @@
+package rules
+
+import "time"
+
+// Engine is what the configuration says of a service's model engines and of the cards that they run on.
+type Engine struct {
+	Model           string
+	Layers          int
+	LayerMB         float64       // memory of one layer's weights
+	TokenBytes      float64       // memory of one token over all layers
+	ActivationBytes float64       // sent to the next part, per token
+	Step            time.Duration // of one token step over all layers at pace 1
+	PerWriter       time.Duration // added for each request that is writing
+	PerContext      time.Duration // added per 1,000 tokens of context of each of them
+	ReadPerSecond   float64       // prompt tokens read a second over all layers at factor 1
+	Pairs           time.Duration // per million pairs of a token and an earlier one
+	Stride          int           // steps of a pass, and so tokens of an event
+	Load            time.Duration // of all layers' weights
+	Loads           int           // loads at a time that do not slow each other
+	Link            float64       // megabits a second from an upstream
+	Pipe            float64       // megabits a second between two data centres, which all share
+	Delay           time.Duration // one way between data centres
+	Slots           int           // requests that an upstream takes as the first of a path
+	Prompt          float64       // mean tokens
+	Answer          float64       // mean tokens
+	Kinds           map[string]Card
+}
+
+// Card is a kind of upstream.
+type Card struct {
+	SizeMB float64
+	Pace   float64 // factor on steps and context
+	Read   float64 // factor on reading
+}
+
+// MostLayers returns how many layers a card's memory holds with no room for requests.
+func (e *Engine) MostLayers(c Card) int {
+	return min(e.Layers, int(c.SizeMB/e.LayerMB))
+}
+
+// bytesPerMB is the unit of card sizes.
+const bytesPerMB = 1e6
+
+// Room returns the tokens x layers that a card's memory takes beside a number of layers.
+func (e *Engine) Room(c Card, layers int) float64 {
+	free := (c.SizeMB - float64(layers)*e.LayerMB) * bytesPerMB
+	return max(0, free/(e.TokenBytes/float64(e.Layers)))
+}
--- /dev/null
+++ b/core/rules/rules.go
@@ -0,0 +1,163 @@
+package rules
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// The kinds of routes.
+const (
+	Idempotent    Kind = iota // may run more than once
+	NonIdempotent             // runs at most once
+	Streaming                 // a series of events; runs at most once unless the route is resumable
+)
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where requests of a host and path prefix go and how they may be treated.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string // begins and ends with a slash
+	Kind      Kind
+	Timeout   time.Duration // longest time a caller is kept waiting; 0 is none
+	Objective time.Duration // to the answer, or to a stream's first event
+	Pause     time.Duration // longest pause between a stream's events that is still on time
+	Priority  int           // 0 is the highest
+	Split     []Share
+	Attempts  int // upstreams that may run one request
+	Public    bool
+	Resumable bool
+}
+
+// Repeatable reports whether a request that may have run may be sent again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Service returns the service that takes a request; random is uniform in [0, 1).
+func (r *Route) Service(random float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	at := random * total
+	for _, s := range r.Split {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Service is a group of upstreams that take the same requests.
+type Service struct {
+	Name     string
+	MaxConns int     // connections that one upstream accepts from all nodes together
+	Engine   *Engine // nil for a plain service
+}
+
+// Team is a customer as its key shows it.
+type Team struct {
+	Name     string
+	Priority int // takes precedence over the route's, if not negative
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	Idle        time.Duration // that a caller's connection may stand without a request
+}
+
+// Rules is one version of the configuration; it is never changed once made.
+type Rules struct {
+	version  uint64
+	routes   map[string][]*Route // by host, longest prefix first
+	count    int
+	services map[string]*Service
+	keys     map[string]Team
+	limits   Limits
+}
+
+// New returns a version of the configuration; no keys mean that callers need none.
+func New(version uint64, routes []*Route, services []*Service, keys map[string]Team, limits Limits) *Rules {
+	r := &Rules{
+		version:  version,
+		routes:   make(map[string][]*Route),
+		count:    len(routes),
+		services: make(map[string]*Service, len(services)),
+		keys:     keys,
+		limits:   limits,
+	}
+	for _, t := range routes {
+		host := strings.ToLower(t.Host)
+		r.routes[host] = append(r.routes[host], t)
+	}
+	for _, list := range r.routes {
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range services {
+		r.services[s.Name] = s
+	}
+	return r
+}
+
+// Version returns the version, which only grows.
+func (r *Rules) Version() uint64 { return r.version }
+
+// Routes returns the number of routes.
+func (r *Rules) Routes() int { return r.count }
+
+// Limits returns the bounds on callers.
+func (r *Rules) Limits() Limits { return r.limits }
+
+// Service returns a service by name, or nil.
+func (r *Rules) Service(name string) *Service { return r.services[name] }
+
+// Engines returns the services whose upstreams hold ranges of a model's layers, by name.
+func (r *Rules) Engines() []*Service {
+	var list []*Service
+	for _, s := range r.services {
+		if s.Engine != nil {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Match returns the route of a host and path, or nil: the one with the longest prefix that begins the path.
+func (r *Rules) Match(host, path string) *Route {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	for _, t := range r.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, t.Prefix) {
+			return t
+		}
+	}
+	return nil
+}
+
+// NeedsKey reports whether requests of a route need a team's key.
+func (r *Rules) NeedsKey(t *Route) bool { return len(r.keys) > 0 && !t.Public }
+
+// Team returns the team that holds a key.
+func (r *Rules) Team(key string) (Team, bool) {
+	t, ok := r.keys[key]
+	return t, ok
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -65,6 +65,7 @@
 	NotSent                // the call did not reach the platform, and nothing was written
 	Uncertain              // no answer came, and the write may have taken effect
 	Missing                // there is no such object
+	Compacted              // the history that was asked for is gone
 )
 
 // Error is a failed call of the platform.
@@ -78,7 +79,7 @@
 
 // Error returns the cause and detail.
 func (e *Error) Error() string {
-	names := [...]string{"conflict", "not sent", "outcome uncertain", "missing"}
+	names := [...]string{"conflict", "not sent", "outcome uncertain", "missing", "compacted"}
 	return fmt.Sprintf("platform: %s: %s", names[e.cause], e.detail)
 }
 
--- a/io/cli/node.go
+++ b/io/cli/node.go
@@ -8,6 +8,7 @@
 
 	"rhubarbspread/io/daemon"
 	"rhubarbspread/io/logs"
+	plat "rhubarbspread/platform"
 
 	"github.com/google/subcommands"
 )
@@ -54,6 +55,9 @@
 	if err := errors.Join(settle(f), noArguments(f)); err != nil {
 		return c.failf(exitUsage, "%v", err)
 	}
+	if path := os.Getenv(plat.SettingsVariable); path != "" {
+		return c.onPlatform(ctx, path)
+	}
 	c.config.Secret = os.Getenv(daemon.EnvName("secret"))
 	c.config.AdminKey = os.Getenv(daemon.EnvName("admin-key"))
 	log := logs.New(c.stderr, c.verbose)
@@ -71,3 +75,18 @@
 	}
 	return exitOK
 }
+
+// onPlatform runs the daemon with the settings file that the users' platform wrote.
+func (c *nodeCommand) onPlatform(ctx context.Context, path string) subcommands.ExitStatus {
+	log := logs.New(c.stdout, c.verbose)
+	logs.TakeOver(log)
+	err := plat.Run(ctx, path, log)
+	var bad *plat.SettingsError
+	switch {
+	case errors.As(err, &bad):
+		return c.failf(exitUsage, "%v", err)
+	case err != nil:
+		return c.failf(exitFailed, "%v", err)
+	}
+	return exitOK
+}
--- /dev/null
+++ b/io/entry/config.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"rhubarbspread/core/carry"
+	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/place"
+	"rhubarbspread/core/rules"
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/hop"
+)
+
+// Config is what a node needs to know to start.
+type Config struct {
+	Node       string
+	DataCentre string
+	Callers    string // IP:port for callers
+	Ready      string // IP:port for the balancer
+	Control    string // IP:port for other nodes' questions
+	Datagrams  string // IP:port for other nodes' datagrams
+	Seeds      []string
+	Store      string // IP:port
+
+	MemoryMB int
+	Files    int // descriptors
+
+	Heartbeat   time.Duration // between an upstream's entries
+	Stability   time.Duration // without a disturbance after which bounds hold
+	Drain       time.Duration // until a draining upstream gets nothing new
+	Grace       time.Duration // from SIGTERM to SIGKILL
+	ConfigApply time.Duration // until a configuration is in force
+	RetryShare  float64       // repeats per first attempt, of all nodes together
+	RetryExtra  float64       // repeats beyond these in a window, of all nodes together
+	RetryWindow time.Duration
+	Stall       time.Duration // after which an upstream gives up a path with a silent part
+}
+
+// Wire reads and writes headers.
+type Wire interface {
+	Facts(h http.Header) carry.Facts
+	Stamp(h http.Header, s *carry.Send)
+	Judge(id string, status int, h http.Header) carry.Verdict
+}
+
+// Platform is what the node needs of the platform.
+type Platform struct {
+	Wire        Wire
+	Table       store.Table
+	Feed        store.Feed
+	Engines     func(*hop.Pool) place.Engines
+	Rules       func(raw []byte) (*rules.Rules, error)
+	Upstream    func(id string, raw []byte) (*fleet.Upstream, error)
+	ReadyPath   string
+	MetricsPath string
+}
--- /dev/null
+++ b/io/entry/node.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/carry"
+	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/lease"
+	"rhubarbspread/core/place"
+	"rhubarbspread/core/retry"
+	"rhubarbspread/core/rules"
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/hop"
+
+	"github.com/go-logr/logr"
+)
+
+// Constants of a node's life.
+const (
+	stopCheck     = 50 * time.Millisecond
+	balancerTime  = 3200 * time.Millisecond // two misses of a question a second, and the way there
+	stopAccepting = 0.75                    // of the grace after which no new connection is taken
+	stopMargin    = 400 * time.Millisecond  // before the grace ends
+	headerTime    = 10 * time.Second        // in which a caller's headers must be in
+	memoryShare   = 0.6                     // of the VM's memory at which the collector works harder
+	leaseTerm     = 4 * time.Second
+	planPause     = 300 * time.Millisecond
+	firstPlan     = 3500 * time.Millisecond // after the start, when most upstreams have registered
+	sweepPause    = time.Second
+	leaseName     = "placement"
+)
+
+// Node is one running node.
+type Node struct {
+	config   Config
+	platform Platform
+	log      logr.Logger
+	view     atomic.Pointer[View]
+	board    *board.Board
+	budget   *retry.Window
+	pool     *hop.Pool
+	carrier  *carry.Carrier
+	lease    *lease.Lease
+	planner  *place.Planner
+	started  time.Time
+	stopping atomic.Bool
+	active   atomic.Int64
+	conns    atomic.Int64
+	dials    atomic.Int64
+
+	storeMu   sync.Mutex
+	storeLost map[store.Topic]bool
+	storeAt   map[store.Topic]time.Time
+	storeBack time.Time
+}
+
+// New returns a node that is not running yet.
+func New(c Config, p Platform, log logr.Logger) *Node {
+	n := &Node{
+		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
+		board:     board.New(),
+		budget:    retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
+		storeLost: make(map[store.Topic]bool), storeAt: make(map[store.Topic]time.Time),
+	}
+	n.pool = hop.NewPool(func() { n.dials.Add(1) })
+	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.board, n, n.budget, n.log)
+	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
+	n.planner = place.NewPlanner(p.Engines(n.pool), n.lease.Valid, n.log)
+	return n
+}
+
+// Upstreams returns a service's upstreams.
+func (n *Node) Upstreams(service string) []*fleet.Upstream {
+	v := n.view.Load()
+	if v == nil || v.List == nil {
+		return nil
+	}
+	return v.List.Of(service)
+}
+
+// DataCentre returns the node's own data centre.
+func (n *Node) DataCentre() string { return n.config.DataCentre }
+
+// connShare returns how many connections this node may have to one upstream of a service.
+func (n *Node) connShare(s *rules.Service) int {
+	v := n.view.Load()
+	if s.MaxConns == 0 || v == nil {
+		return 0
+	}
+	return max(1, s.MaxConns/(len(v.Nodes)+1))
+}
+
+// isCurrent reports whether the configuration is known to be the newest, but for the bound in which it must
+// come into force.
+func (n *Node) isCurrent() bool {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	return !n.storeLost[store.Configuration] && time.Since(n.storeAt[store.Configuration]) < feedWait+2*time.Second
+}
+
+// isReady reports whether the node can serve: it has a configuration and upstreams.
+func (n *Node) isReady() bool {
+	v := n.view.Load()
+	return !n.stopping.Load() && v != nil && v.Rules != nil && v.List != nil && v.List.Len() > 0
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(float64(n.config.MemoryMB) * memoryShare * (1 << 20)))
+	callers, err := net.Listen("tcp", n.config.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", n.config.Ready)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	life, endLife := context.WithCancel(context.WithoutCancel(ctx))
+	defer endLife()
+	n.log.Info("start", "data-centre", n.config.DataCentre, "callers", n.config.Callers, "memory-mb", n.config.MemoryMB)
+	ended := n.duties(life)
+	door := &http.Server{
+		Handler: &front{n}, ReadHeaderTimeout: headerTime, ConnState: n.count, ErrorLog: quietLog(),
+	}
+	served := make(chan error, 2)
+	go func() { served <- door.Serve(callers) }()
+	readiness := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime}
+	go func() { served <- readiness.Serve(ready) }()
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+		n.log.Error(err, "listener-failed")
+	}
+	n.stop(door)
+	_ = readiness.Close()
+	endLife()
+	for range ended.count {
+		<-ended.done
+	}
+	n.log.Info("stopped")
+	return err
+}
+
+// stop refuses new connections once the balancer knows, lets what is under way end, and closes.
+func (n *Node) stop(door *http.Server) {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.log.Info("stop", "active", n.active.Load(), "connections", n.conns.Load())
+	notice, cancel := context.WithTimeout(context.Background(), time.Duration(stopAccepting*float64(n.config.Grace)))
+	defer cancel()
+	waitIdle(notice, func() bool { return time.Since(began) > balancerTime && n.conns.Load() == 0 })
+	last, cancelLast := context.WithDeadline(context.Background(), began.Add(n.config.Grace-stopMargin))
+	defer cancelLast()
+	if err := door.Shutdown(last); err != nil {
+		n.log.Info("stop-cut", "active", n.active.Load(), "cause", err.Error())
+		_ = door.Close()
+	}
+}
+
+// count keeps the number of callers' connections.
+func (n *Node) count(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		n.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.conns.Add(-1)
+	}
+}
+
+func (n *Node) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != n.platform.ReadyPath {
+			http.NotFound(w, r)
+			return
+		}
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// duties are the goroutines of a node's life; each reports its end.
+type duties struct {
+	count int
+	done  chan error
+}
+
+func (d *duties) start(f func() error) {
+	d.count++
+	go func() { d.done <- f() }()
+}
+
+const mostDuties = 16
+
+func (n *Node) duties(ctx context.Context) *duties {
+	d := &duties{done: make(chan error, mostDuties)}
+	changes := make(chan change, mostDuties)
+	c := newControl(n)
+	d.start(func() error { return c.run(ctx, changes) })
+	for _, t := range []store.Topic{store.Configuration, store.Upstreams, store.Nodes} {
+		d.start(func() error { return n.follow(ctx, t, changes) })
+	}
+	d.start(func() error { return n.announce(ctx) })
+	d.start(func() error { return n.plan(ctx) })
+	d.start(func() error { return n.sweep(ctx) })
+	leaseEnd := n.lease.Run(ctx)
+	d.start(func() error { return <-leaseEnd })
+	return d
+}
+
+// announce writes this node's row until the store has it.
+func (n *Node) announce(ctx context.Context) error {
+	raw, err := json.Marshal(nodeRow{Address: n.config.Datagrams})
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := n.platform.Feed.Announce(ctx, n.config.Node, raw); err == nil {
+			return nil
+		}
+		sleep(ctx, brokenPause)
+	}
+	return nil
+}
+
+// plan performs the placement while this node holds the lease.
+func (n *Node) plan(ctx context.Context) error {
+	sleep(ctx, firstPlan)
+	for ctx.Err() == nil {
+		if v := n.view.Load(); v != nil && v.Rules != nil {
+			for _, s := range v.Rules.Engines() {
+				n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), func(*fleet.Upstream) bool { return false })
+			}
+		}
+		sleep(ctx, planPause)
+	}
+	return nil
+}
+
+// sweep closes connections that are not needed.
+func (n *Node) sweep(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepPause)
+		v := n.view.Load()
+		n.pool.Sweep(func(t hop.Target) bool {
+			if v == nil {
+				return true
+			}
+			u := v.List.Get(t.ID)
+			return u != nil && u.Address == t.Address
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/io/entry/transport.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"rhubarbspread/core/carry"
+	"rhubarbspread/core/rules"
+	"rhubarbspread/io/hop"
+)
+
+// transport sends attempts over kept connections.
+type transport struct {
+	pool *hop.Pool
+	wire Wire
+	node *Node
+}
+
+// Send sends an attempt; its error is a *carry.SendError.
+func (t *transport) Send(ctx context.Context, s *carry.Send) (*carry.Answer, error) {
+	h := s.Header.Clone()
+	t.wire.Stamp(h, s)
+	resp, err := t.pool.Do(ctx, &hop.Call{
+		Target: hop.Target{ID: s.Upstream.ID, Address: s.Upstream.Address},
+		Method: s.Method, URI: s.URI, Host: s.Host, Header: h, Body: s.Body,
+		Fresh:     s.Route.Kind == rules.NonIdempotent || !s.Route.Repeatable(),
+		MostConns: t.node.connShare(s.Service),
+		Foreign:   func(status int, h http.Header) bool { return t.wire.Judge(s.ID, status, h).Foreign },
+	})
+	if err != nil {
+		var e *hop.Error
+		return nil, carry.NewSendError(!errors.As(err, &e) || e.Sent(), err)
+	}
+	for name := range resp.Header {
+		if name != "Content-Length" && hop.PerConnection(name) {
+			resp.Header.Del(name)
+		}
+	}
+	return &carry.Answer{
+		Verdict: t.wire.Judge(s.ID, resp.StatusCode, resp.Header), Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
+	}, nil
+}
--- /dev/null
+++ b/io/hop/encode.go
@@ -0,0 +1,53 @@
+package hop
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// perConnection names headers that concern one connection only.
+var perConnection = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
+}
+
+// PerConnection reports whether a header, in canonical form, concerns one connection only.
+func PerConnection(name string) bool { return perConnection[name] }
+
+var errHeader = errors.New("a header that can't be passed on")
+
+// encode writes a request with its body and the body's length, as it came otherwise.
+func encode(c *Call) ([]byte, error) {
+	var b bytes.Buffer
+	b.Grow(512 + len(c.Body))
+	line := func(parts ...string) {
+		for _, p := range parts {
+			b.WriteString(p)
+		}
+		b.WriteString("\r\n")
+	}
+	if strings.ContainsAny(c.URI, " \r\n") || strings.ContainsAny(c.Host, " \r\n") {
+		return nil, errHeader
+	}
+	line(c.Method, " ", c.URI, " HTTP/1.1")
+	line("Host: ", c.Host)
+	for name, values := range c.Header {
+		if perConnection[name] {
+			continue
+		}
+		for _, v := range values {
+			if strings.ContainsAny(v, "\r\n") {
+				return nil, errHeader
+			}
+			line(name, ": ", v)
+		}
+	}
+	if len(c.Body) > 0 || c.Method != "GET" && c.Method != "HEAD" {
+		line("Content-Length: ", strconv.Itoa(len(c.Body)))
+	}
+	line()
+	b.Write(c.Body)
+	return b.Bytes(), nil
+}
