Let nodes tell each other what they hold on upstreams, by datagrams

Cause: each node knew its own reservations alone, so that all sent to the same upstreams: 1,576 of 3,522 arrivals refused for want of room.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"rhubarbspread/core/fleet"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Key tells an upstream's lives apart.
@@ -17,8 +20,18 @@
 // KeyOf returns the key of an upstream's present life.
 func KeyOf(u *fleet.Upstream) Key { return Key{u.ID, u.Born} }
 
+// Tag is a short name of an upstream's life in what nodes tell each other.
+func (k Key) Tag() uint32 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(k.ID)
+	_, _ = d.WriteString(strconv.FormatInt(k.Born, 10))
+	return uint32(d.Sum64())
+}
+
 // state is what is known of one life of an upstream.
 type state struct {
+	tag       uint32
 	held      float64   // tokens x layers reserved by this node's requests
 	running   int       // this node's requests that pass through it
 	first     int       // those that were sent to it
@@ -58,7 +71,8 @@
 // peerClaims is what another node told last.
 type peerClaims struct {
 	at     time.Time
-	claims map[Key]Claim
+	claims map[uint32]Claim // by the upstream's tag
+	rest   []uint32         // upstreams that broke or fell silent for it
 }
 
 // Option sets a part of a Board.
@@ -105,6 +119,9 @@
 			delete(b.states, k)
 		}
 	}
+	for _, u := range list.All() {
+		b.state(KeyOf(u))
+	}
 	b.wake()
 }
 
@@ -123,7 +140,7 @@
 func (b *Board) state(k Key) *state {
 	s := b.states[k]
 	if s == nil {
-		s = &state{}
+		s = &state{tag: k.Tag()}
 		b.states[k] = s
 	}
 	return s
@@ -191,32 +208,46 @@
 	}
 }
 
-// Claims returns what this node's requests hold.
-func (b *Board) Claims() map[Key]Claim {
+// Claims returns what this node's requests hold, by the upstream's tag.
+func (b *Board) Claims() map[uint32]Claim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := make(map[Key]Claim, len(b.states))
-	for k, s := range b.states {
+	m := make(map[uint32]Claim, len(b.states))
+	for _, s := range b.states {
 		if s.running > 0 || s.first > 0 {
-			m[k] = s.own()
+			m[s.tag] = Claim{s.held, s.running, s.first, s.reading}
 		}
 	}
 	return m
 }
 
-func (s *state) own() Claim { return Claim{s.held, s.running, s.first, s.reading} }
+// RestingTags returns the upstreams that broke or fell silent for this node.
+func (b *Board) RestingTags() []uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var tags []uint32
+	for _, s := range b.states {
+		if now.Before(s.deadUntil) {
+			tags = append(tags, s.tag)
+		}
+	}
+	return tags
+}
 
-// PeerClaims notes what another node holds.
-func (b *Board) PeerClaims(node string, claims map[Key]Claim) {
+// PeerClaims notes what another node holds and which upstreams broke or fell silent for it.
+func (b *Board) PeerClaims(node string, claims map[uint32]Claim, resting []uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[node] = peerClaims{at: b.now(), claims: claims}
+	b.peers[node] = peerClaims{at: b.now(), claims: claims, rest: resting}
 	b.sumPeers()
 }
 
 func (b *Board) sumPeers() {
+	byTag := make(map[uint32]*state, len(b.states))
 	for _, s := range b.states {
 		s.others = Claim{}
+		byTag[s.tag] = s
 	}
 	now := b.now()
 	for node, p := range b.peers {
@@ -224,9 +255,10 @@
 			delete(b.peers, node)
 			continue
 		}
-		for k, c := range p.claims {
-			s := b.state(k)
-			s.others = s.others.add(c)
+		for tag, c := range p.claims {
+			if s := byTag[tag]; s != nil {
+				s.others = s.others.add(c)
+			}
 		}
 	}
 }
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbspread/core/store"
+	"rhubarbspread/io/mesh"
 )
 
 // Times of following the store.
@@ -86,3 +87,62 @@
 	case <-ctx.Done():
 	}
 }
+
+// Times of asking other nodes.
+const (
+	askPause = 250 * time.Millisecond
+	askLag   = 700 * time.Millisecond // that another node may be ahead before it is asked: the store tells all at once
+)
+
+// askAround asks other nodes for what the store does not tell this one.
+func (n *Node) askAround(ctx context.Context, changes chan<- change) error {
+	var behind time.Time // since when another node has been ahead
+	for ctx.Err() == nil {
+		sleep(ctx, askPause)
+		k := n.known()
+		peer, ok := n.mesh.Ahead(k.Rules, k.List)
+		if !ok {
+			behind = time.Time{}
+			continue
+		}
+		if behind.IsZero() {
+			behind = time.Now()
+		}
+		isLost := n.isLost()
+		if time.Since(behind) < askLag && !isLost || k.Rules >= peer.Rules && !isLost {
+			continue // lists differ all the time between two nodes that the store answers
+		}
+		news, err := n.mesh.Ask(ctx, peer.Questions, k.Rules, k.List)
+		if err != nil {
+			n.log.Info("node-silent", "other", peer.Name, "cause", err.Error())
+			continue
+		}
+		n.log.Info("news", "other", peer.Name, "rules", peer.Rules, "list", news.List, "had-rules", k.Rules, "had-list", k.List)
+		n.hand(ctx, news, changes)
+	}
+	return nil
+}
+
+// hand passes another node's news to the control goroutine.
+func (n *Node) hand(ctx context.Context, news mesh.Known, changes chan<- change) {
+	var list []change
+	if len(news.Raw) > 0 {
+		list = append(list, change{topic: store.Configuration, items: []store.Item{{Value: news.Raw}}})
+	}
+	if news.List > 0 {
+		list = append(list, change{topic: store.Upstreams, items: news.Items, version: news.List, snapshot: true})
+	}
+	for _, ch := range list {
+		select {
+		case changes <- ch:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// isLost reports whether the store does not answer this node.
+func (n *Node) isLost() bool {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	return n.storeLost[store.Configuration] || n.storeLost[store.Upstreams]
+}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
+	"rhubarbspread/io/mesh"
 
 	"github.com/go-logr/logr"
 )
@@ -51,6 +53,7 @@
 	carrier  *carry.Carrier
 	lease    *lease.Lease
 	planner  *place.Planner
+	mesh     *mesh.Mesh
 	started  time.Time
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -75,9 +78,31 @@
 	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.board, n, n.budget, n.log)
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(p.Engines(n.pool), n.lease.Valid, n.log)
+	n.mesh = mesh.New(mesh.Config{Node: c.Node, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
 	return n
 }
 
+// known returns what this node can tell another.
+func (n *Node) known() mesh.Known {
+	v := n.view.Load()
+	if v == nil {
+		return mesh.Known{}
+	}
+	k := mesh.Known{List: v.List.Version(), Raw: v.Raw, Items: v.Items}
+	if v.Rules != nil {
+		k.Rules = v.Rules.Version()
+	}
+	return k
+}
+
+// others returns the datagram addresses of the other nodes.
+func (n *Node) others() map[string]netip.AddrPort {
+	if v := n.view.Load(); v != nil {
+		return v.Nodes
+	}
+	return nil
+}
+
 // Upstreams returns a service's upstreams.
 func (n *Node) Upstreams(service string) []*fleet.Upstream {
 	v := n.view.Load()
@@ -212,6 +237,8 @@
 		d.start(func() error { return n.follow(ctx, t, changes) })
 	}
 	d.start(func() error { return n.announce(ctx) })
+	d.start(func() error { return n.mesh.Run(ctx) })
+	d.start(func() error { return n.askAround(ctx, changes) })
 	d.start(func() error { return n.plan(ctx) })
 	d.start(func() error { return n.sweep(ctx) })
 	leaseEnd := n.lease.Run(ctx)
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -17,6 +17,7 @@
 	Rules *rules.Rules // nil before the first configuration
 	Raw   []byte       // of the configuration, for other nodes
 	List  *fleet.List
+	Items []store.Item              // entries of the list, for other nodes
 	Nodes map[string]netip.AddrPort // datagram addresses of the other nodes
 }
 
@@ -32,6 +33,7 @@
 type control struct {
 	node     *Node
 	upstream map[string]*fleet.Upstream
+	raws     map[string][]byte
 	gone     map[string]time.Time // entries that lapsed around an outage of the store, and when they count as gone
 	version  uint64
 	rules    *rules.Rules
@@ -41,7 +43,7 @@
 
 func newControl(n *Node) *control {
 	return &control{
-		node: n, upstream: make(map[string]*fleet.Upstream), gone: make(map[string]time.Time),
+		node: n, upstream: make(map[string]*fleet.Upstream), raws: make(map[string][]byte), gone: make(map[string]time.Time),
 		nodes: make(map[string]netip.AddrPort),
 	}
 }
@@ -75,7 +77,10 @@
 			c.configure(it)
 		}
 	case store.Upstreams:
-		c.version = max(c.version, ch.version)
+		if ch.version < c.version {
+			return // from another node, and overtaken
+		}
+		c.version = ch.version
 		c.list(ch)
 	case store.Nodes:
 		for _, it := range ch.items {
@@ -143,6 +148,7 @@
 		u.Draining = true // a late entry doesn't call a leaving upstream back
 	}
 	c.upstream[it.Key] = u
+	c.raws[it.Key] = it.Value
 	if old == nil || old.Born != u.Born || old.Draining != u.Draining || old.Layers != u.Layers || old.Address != u.Address {
 		c.node.log.Info("upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "draining", u.Draining,
 			"card", u.Card, "from", u.Layers.From, "to", u.Layers.To, "born", u.Born)
@@ -154,6 +160,7 @@
 		return
 	}
 	delete(c.upstream, id)
+	delete(c.raws, id)
 	delete(c.gone, id)
 	c.node.log.Info("upstream-gone", "upstream", id, "cause", cause)
 }
@@ -198,6 +205,7 @@
 	list := make([]*fleet.Upstream, 0, len(c.upstream))
 	for _, u := range c.upstream {
 		list = append(list, u)
+		v.Items = append(v.Items, store.Item{Key: u.ID, Value: c.raws[u.ID]})
 	}
 	v.List = fleet.NewList(c.version, list)
 	for name, a := range c.nodes {
--- /dev/null
+++ b/io/mesh/mesh.go
@@ -0,0 +1,276 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/mesh/wire"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Constants of the mesh.
+const (
+	period       = 150 * time.Millisecond // between datagrams to each node, while there are few nodes
+	perSecond    = 60                     // datagrams a second that a node sends at most, with many nodes
+	mostDatagram = 1400                   // bytes, so that a datagram is one packet
+	questionTime = 800 * time.Millisecond
+	thousand     = 1000
+)
+
+// Known is what a node has of the store.
+type Known struct {
+	Rules uint64 // version of the configuration
+	List  uint64 // version of the store that the list of upstreams shows
+	Raw   []byte // the configuration
+	Items []store.Item
+}
+
+// Peer is another node as its datagrams show it.
+type Peer struct {
+	Name      string
+	Questions string // address
+	Rules     uint64
+	List      uint64
+	At        time.Time
+}
+
+// Config says who a node is in the mesh.
+type Config struct {
+	Node      string
+	Datagrams string // IP:port
+	Questions string // IP:port
+}
+
+// Mesh is one node's part.
+type Mesh struct {
+	config      Config
+	board       *board.Board
+	known       func() Known
+	others      func() map[string]netip.AddrPort
+	log         logr.Logger
+	incarnation uint64
+
+	mu    sync.Mutex
+	peers map[string]*seen
+}
+
+type seen struct {
+	Peer
+	incarnation uint64
+	sequence    uint32
+}
+
+// New returns a node's part; known tells what it has of the store, others the datagram addresses of other nodes.
+func New(c Config, b *board.Board, known func() Known, others func() map[string]netip.AddrPort, log logr.Logger) *Mesh {
+	return &Mesh{
+		config: c, board: b, known: known, others: others, log: log, peers: make(map[string]*seen),
+		incarnation: uint64(time.Now().UnixNano()),
+	}
+}
+
+// Run sends and receives until the context ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp4", m.config.Datagrams)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return err
+	}
+	questions, err := net.Listen("tcp", m.config.Questions)
+	if err != nil {
+		return errors.Join(err, conn.Close())
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterMesh(mux, &server{mesh: m}); err != nil {
+		return errors.Join(err, conn.Close(), questions.Close())
+	}
+	ended := make(chan error, 3)
+	go func() { ended <- drpcserver.New(mux).Serve(ctx, questions) }()
+	go func() { ended <- m.receive(conn) }()
+	go func() { ended <- m.send(ctx, conn) }()
+	<-ctx.Done()
+	err = conn.Close()
+	for range cap(ended) {
+		<-ended
+	}
+	return err
+}
+
+// receive takes in datagrams until the connection is closed.
+func (m *Mesh) receive(conn *net.UDPConn) error {
+	buffer := make([]byte, 1<<16)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			m.log.Info("datagram-failed", "cause", err.Error())
+			continue
+		}
+		var d wire.Digest
+		if err := proto.Unmarshal(buffer[:n], &d); err != nil {
+			m.log.Info("datagram-unreadable", "cause", err.Error())
+			continue
+		}
+		m.take(&d)
+	}
+}
+
+// take takes in a datagram unless a newer one of its node came before.
+func (m *Mesh) take(d *wire.Digest) {
+	if d.GetNode() == "" || d.GetNode() == m.config.Node {
+		return
+	}
+	m.mu.Lock()
+	s := m.peers[d.GetNode()]
+	if s == nil {
+		s = &seen{}
+		m.peers[d.GetNode()] = s
+	}
+	if d.GetIncarnation() < s.incarnation || d.GetIncarnation() == s.incarnation && d.GetSequence() <= s.sequence {
+		m.mu.Unlock()
+		return
+	}
+	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
+	s.Peer = Peer{d.GetNode(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now()}
+	m.mu.Unlock()
+	claims := make(map[uint32]board.Claim, len(d.GetClaims()))
+	for _, c := range d.GetClaims() {
+		claims[c.GetUpstream()] = board.Claim{
+			Held: float64(c.GetHeld()) * thousand, Running: int(c.GetRunning()), First: int(c.GetFirst()),
+			Reading: float64(c.GetReading()) * thousand,
+		}
+	}
+	m.board.PeerClaims(d.GetNode(), claims, d.GetResting())
+}
+
+// send tells the other nodes what this one holds, in turn over a period.
+func (m *Mesh) send(ctx context.Context, conn *net.UDPConn) error {
+	sequence := uint32(0)
+	for ctx.Err() == nil {
+		others := m.others()
+		wait := max(period, time.Duration(len(others))*time.Second/perSecond)
+		sequence++
+		raw, err := proto.Marshal(m.digest(sequence))
+		if err != nil {
+			return err
+		}
+		if len(raw) > mostDatagram {
+			m.log.V(1).Info("datagram-large", "bytes", len(raw))
+		}
+		for _, a := range others {
+			// A datagram that can't be sent is as good as one lost on the way: the next one says all again.
+			_, _ = conn.WriteToUDPAddrPort(raw, a)
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) digest(sequence uint32) *wire.Digest {
+	k := m.known()
+	d := &wire.Digest{
+		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence, Rules: k.Rules, List: k.List,
+		Address: m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
+	}
+	for tag, c := range m.board.Claims() {
+		d.Claims = append(d.Claims, &wire.Claim{
+			Upstream: tag, Held: uint32(c.Held / thousand), Running: uint32(c.Running), First: uint32(c.First),
+			Reading: uint32(c.Reading / thousand),
+		})
+	}
+	return d
+}
+
+// freshTime is how long after its last datagram a node is worth asking.
+const freshTime = 2 * time.Second
+
+// Ahead returns a live node that has a newer configuration or list than the versions given.
+func (m *Mesh) Ahead(rules, list uint64) (Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best Peer
+	for _, s := range m.peers {
+		if time.Since(s.At) > freshTime || s.Rules <= rules && s.List <= list {
+			continue
+		}
+		if best.Name == "" || s.Rules > best.Rules || s.Rules == best.Rules && s.List > best.List {
+			best = s.Peer
+		}
+	}
+	return best, best.Name != ""
+}
+
+// Live returns how many other nodes sent a datagram lately.
+func (m *Mesh) Live() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, s := range m.peers {
+		if time.Since(s.At) <= freshTime {
+			n++
+		}
+	}
+	return n
+}
+
+// Ask asks a node at an address for what is newer than the versions given.
+func (m *Mesh) Ask(ctx context.Context, address string, rules, list uint64) (Known, error) {
+	ctx, cancel := context.WithTimeout(ctx, questionTime)
+	defer cancel()
+	var d net.Dialer
+	tcp, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Known{}, err
+	}
+	conn := drpcconn.New(tcp)
+	defer conn.Close()
+	reply, err := wire.NewDRPCMeshClient(conn).News(ctx, &wire.NewsRequest{Rules: rules, List: list})
+	if err != nil {
+		return Known{}, err
+	}
+	k := Known{Raw: reply.GetConfiguration(), List: reply.GetList()}
+	for _, e := range reply.GetEntries() {
+		k.Items = append(k.Items, store.Item{Key: e.GetId(), Value: e.GetValue()})
+	}
+	return k, nil
+}
+
+// server answers other nodes.
+type server struct {
+	wire.DRPCMeshUnimplementedServer
+	mesh *Mesh
+}
+
+// News tells what is newer here.
+func (s *server) News(_ context.Context, in *wire.NewsRequest) (*wire.NewsReply, error) {
+	k := s.mesh.known()
+	out := &wire.NewsReply{}
+	if k.Rules > in.GetRules() {
+		out.Configuration = k.Raw
+	}
+	if k.List > in.GetList() {
+		out.List = k.List
+		for _, it := range k.Items {
+			out.Entries = append(out.Entries, &wire.Entry{Id: it.Key, Value: it.Value})
+		}
+	}
+	return out, nil
+}
