--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -1,6 +1,9 @@
 package board
 
 import (
+	"fmt"
+	"strings"
+
 	"rhubarbspread/core/fleet"
 )
 
@@ -21,6 +24,18 @@
 	Layers   fleet.Range
 }
 
+// Describe writes a path for logs, as IDs with their layers.
+func Describe(hops []Hop) string {
+	var b strings.Builder
+	for i, h := range hops {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s:%d-%d", h.Upstream.ID, h.Layers.From, h.Layers.To)
+	}
+	return b.String()
+}
+
 // queueSlack is how many requests beyond a plain upstream's slots are sent to it, to wait in its own queue.
 const queueSlack = 4
 
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -168,8 +168,12 @@
 func (r *run) attempt(ctx context.Context, t *board.Ticket) reply.Outcome {
 	began := time.Now()
 	outcome := r.send(ctx, t)
-	r.c.log.V(1).Info("attempt-end", "request", r.q.ID, "upstream", t.Upstream.ID, "parts", len(t.Hops),
-		"outcome", reply.Reason(outcome), "ms", time.Since(began).Milliseconds())
+	if _, ok := outcome.(reply.Done); !ok {
+		r.c.log.Info("attempt-failed", "request", r.q.ID, "upstream", t.Upstream.ID, "path", board.Describe(t.Hops),
+			"outcome", reply.Reason(outcome), "may-have-run", reply.Ran(outcome), "last-event", r.last,
+			"expected-first-ms", t.Expected.First.Milliseconds(), "expected-pause-ms", t.Expected.Pause.Milliseconds(),
+			"ms", time.Since(began).Milliseconds())
+	}
 	return outcome
 }
 
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -36,7 +36,7 @@
 	memoryShare   = 0.6                     // of the VM's memory at which the collector works harder
 	leaseTerm     = 4 * time.Second
 	planPause     = 300 * time.Millisecond
-	firstPlan     = 3500 * time.Millisecond // after the start, when most upstreams have registered
+	firstPlan     = 6500 * time.Millisecond // longest wait after the start for all upstreams to have registered
 	sweepPause    = time.Second
 	leaseName     = "placement"
 )
@@ -263,7 +263,7 @@
 
 // plan performs the placement while this node holds the lease.
 func (n *Node) plan(ctx context.Context) error {
-	sleep(ctx, firstPlan)
+	n.awaitFleet(ctx)
 	for ctx.Err() == nil {
 		if v := n.view.Load(); v != nil && v.Rules != nil {
 			for _, s := range v.Rules.Engines() {
@@ -275,6 +275,21 @@
 	return nil
 }
 
+// awaitFleet waits until no upstream has registered for more than a heartbeat: a plan for a part of the fleet
+// gives its upstreams too many layers.
+func (n *Node) awaitFleet(ctx context.Context) {
+	known, since := 0, time.Now()
+	for ctx.Err() == nil && time.Since(n.started) < firstPlan {
+		sleep(ctx, planPause)
+		if v := n.view.Load(); v != nil && v.List.Len() != known {
+			known, since = v.List.Len(), time.Now()
+		}
+		if known > 0 && time.Since(since) > n.config.Heartbeat+planPause {
+			return
+		}
+	}
+}
+
 // sweep closes connections that are not needed.
 func (n *Node) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
