--- a/core/board/path.go
+++ b/core/board/path.go
@@ -35,25 +35,73 @@
 func (b *Board) Path(list []*fleet.Upstream, n *Need) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	hops := b.search(list, n, false)
+	whole := fleet.Range{From: 0, To: n.Engine.Layers}
+	hops := b.search(list, n, whole, "", false)
 	if hops == nil {
-		hops = b.search(list, n, true)
+		hops = b.search(list, n, whole, "", true)
 	}
 	if hops == nil || twice(hops) {
 		return nil
 	}
-	t := &Ticket{board: b, Upstream: hops[0].Upstream, Hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt}
+	t := &Ticket{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt}
 	t.Expected = b.estimate(n, hops)
 	for _, h := range hops {
-		s := b.state(KeyOf(h.Upstream))
-		s.running++
-		s.held += t.tokens * float64(h.Layers.Len())
-		s.reading += t.prompt * float64(h.Layers.Len())
+		b.hold(t, h, 1)
 	}
 	b.state(KeyOf(t.Upstream)).first++
 	return t
 }
 
+// hold reserves a part's room with a sign of 1 or gives it back with -1.
+func (b *Board) hold(t *Ticket, h Hop, sign int) {
+	s := b.state(KeyOf(h.Upstream))
+	s.running += sign
+	s.held = max(0, s.held+float64(sign)*t.tokens*float64(h.Layers.Len()))
+	if !t.read {
+		s.reading = max(0, s.reading+float64(sign)*t.prompt*float64(h.Layers.Len()))
+	}
+}
+
+// Bypass gives the layers of a part that failed to other upstreams and reserves room there; the first part can't
+// be bypassed. It reports whether there is a way round; the path before is given back by Release all the same.
+func (t *Ticket) Bypass(list []*fleet.Upstream, n *Need, failed string) bool {
+	b := t.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var hops []Hop
+	found := false
+	need := *n
+	for _, h := range t.hops {
+		need.Exclude = append(need.Exclude, h.Upstream.ID)
+	}
+	for i, h := range t.hops {
+		if h.Upstream.ID != failed || i == 0 {
+			hops = append(hops, h)
+			continue
+		}
+		round := b.search(list, &need, h.Layers, t.hops[i-1].Upstream.DataCentre, false)
+		if round == nil {
+			return false
+		}
+		hops = append(hops, round...)
+		found = true
+	}
+	if !found || len(hops) > mostParts {
+		return false
+	}
+	for _, h := range t.hops {
+		b.hold(t, h, -1)
+	}
+	t.hops = hops
+	for _, h := range t.hops {
+		b.hold(t, h, 1)
+	}
+	return true
+}
+
+// mostParts is how many parts upstreams accept in a path.
+const mostParts = 32
+
 // place is a search state: all layers before layer are run, the last of them in a data centre.
 type place struct {
 	layer  int
@@ -67,18 +115,19 @@
 	done bool
 }
 
-// search runs Dijkstra's algorithm over layers and data centres. Resting upstreams take part only where asked.
-func (b *Board) search(list []*fleet.Upstream, n *Need, resting bool) []Hop {
+// search runs Dijkstra's algorithm over layers and data centres, from a data centre that ran the layers before.
+// Resting upstreams take part only where asked.
+func (b *Board) search(list []*fleet.Upstream, n *Need, span fleet.Range, centre string, resting bool) []Hop {
 	usable := b.usable(list, n, resting)
-	cuts := boundaries(usable, n.Engine.Layers)
-	best := map[place]*step{{0, ""}: {}}
+	cuts := boundaries(usable, span)
+	best := map[place]*step{{span.From, centre}: {}}
 	for {
 		at, s := nearest(best)
 		if s == nil {
 			return nil
 		}
-		if at.layer == n.Engine.Layers {
-			return unwind(best, at)
+		if at.layer == span.To {
+			return unwind(best, at, span.From)
 		}
 		s.done = true
 		for _, c := range usable {
@@ -127,9 +176,9 @@
 	return at, least
 }
 
-func unwind(best map[place]*step, at place) []Hop {
+func unwind(best map[place]*step, at place, from int) []Hop {
 	var hops []Hop
-	for at.layer > 0 {
+	for at.layer > from {
 		s := best[at]
 		if last := len(hops) - 1; last >= 0 && hops[last].Upstream == s.hop.Upstream {
 			hops[last].Layers.From = s.hop.Layers.From
@@ -142,16 +191,16 @@
 	return hops
 }
 
-// boundaries returns the layers at which a part may end: where another upstream begins or one ends.
-func boundaries(usable []candidate, layers int) []int {
-	seen := make([]bool, layers+1)
+// boundaries returns the layers of a span at which a part may end: where another upstream begins or one ends.
+func boundaries(usable []candidate, span fleet.Range) []int {
+	seen := map[int]bool{span.To: true}
 	for _, c := range usable {
 		seen[c.upstream.Layers.From] = true
 		seen[c.upstream.Layers.To] = true
 	}
 	var cuts []int
-	for i, is := range seen {
-		if is && i > 0 {
+	for i := span.From + 1; i <= span.To; i++ {
+		if seen[i] {
 			cuts = append(cuts, i)
 		}
 	}
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -11,7 +11,7 @@
 type Ticket struct {
 	board    *Board
 	Upstream *fleet.Upstream // to which the request is sent
-	Hops     []Hop           // of a path, in the order of layers; none for a plain service
+	hops     []Hop           // under the board's lock
 	Expected Estimate
 	tokens   float64
 	prompt   float64
@@ -86,6 +86,13 @@
 	return false
 }
 
+// Hops returns the path's parts in the order of layers; none for a plain service.
+func (t *Ticket) Hops() []Hop {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	return t.hops
+}
+
 // Reading notes that a path's first event came, so that the prompt has been read.
 func (t *Ticket) Reading() {
 	b := t.board
@@ -99,7 +106,7 @@
 		return
 	}
 	t.read = true
-	for _, h := range t.Hops {
+	for _, h := range t.hops {
 		s := t.board.state(KeyOf(h.Upstream))
 		s.reading = max(0, s.reading-t.prompt*float64(h.Layers.Len()))
 	}
@@ -112,10 +119,8 @@
 	defer b.mu.Unlock()
 	t.endReading()
 	b.state(KeyOf(t.Upstream)).first--
-	for _, h := range t.Hops {
-		s := b.state(KeyOf(h.Upstream))
-		s.running--
-		s.held = max(0, s.held-t.tokens*float64(h.Layers.Len()))
+	for _, h := range t.hops {
+		b.hold(t, h, -1)
 	}
 	b.wake()
 }
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"rhubarbspread/core/board"
@@ -24,15 +25,17 @@
 // Carrier runs callers' requests for one node.
 type Carrier struct {
 	transport Transport
+	engines   Engines
 	board     *board.Board
 	world     World
 	budget    Spender
 	log       logr.Logger
+	doctor    doctor
 }
 
 // New returns a carrier.
-func New(t Transport, b *board.Board, w World, budget Spender, log logr.Logger) *Carrier {
-	return &Carrier{transport: t, board: b, world: w, budget: budget, log: log}
+func New(t Transport, e Engines, b *board.Board, w World, budget Spender, log logr.Logger) *Carrier {
+	return &Carrier{transport: t, engines: e, board: b, world: w, budget: budget, log: log, doctor: doctor{engines: e}}
 }
 
 // Refusal is the final answer of a request that got none from an upstream.
@@ -137,18 +140,22 @@
 }
 
 func (r *run) pick() *board.Ticket {
-	q := r.q
-	list := r.c.world.Upstreams(q.Service.Name)
-	if q.Service.Engine == nil {
+	list := r.c.world.Upstreams(r.q.Service.Name)
+	if r.q.Service.Engine == nil {
 		return r.c.board.Plain(list, r.exclude)
 	}
-	return r.c.board.Path(list, &board.Need{
-		Engine:     q.Service.Engine,
+	return r.c.board.Path(list, r.need())
+}
+
+// need returns what a generation still asks of a path.
+func (r *run) need() *board.Need {
+	return &board.Need{
+		Engine:     r.q.Service.Engine,
 		DataCentre: r.c.world.DataCentre(),
-		Prompt:     float64(q.Prompt),
+		Prompt:     float64(r.q.Prompt),
 		Output:     r.expectedOutput(),
-		Exclude:    r.exclude,
-	})
+		Exclude:    slices.Clone(r.exclude),
+	}
 }
 
 // expectedOutput returns how many tokens the request will write: the caller's hint, within its maximum.
@@ -169,7 +176,7 @@
 	began := time.Now()
 	outcome := r.send(ctx, t)
 	if _, ok := outcome.(reply.Done); !ok {
-		r.c.log.Info("attempt-failed", "request", r.q.ID, "upstream", t.Upstream.ID, "path", board.Describe(t.Hops),
+		r.c.log.Info("attempt-failed", "request", r.q.ID, "upstream", t.Upstream.ID, "path", board.Describe(t.Hops()),
 			"outcome", reply.Reason(outcome), "may-have-run", reply.Ran(outcome), "last-event", r.last,
 			"expected-first-ms", t.Expected.First.Milliseconds(), "expected-pause-ms", t.Expected.Pause.Milliseconds(),
 			"ms", time.Since(began).Milliseconds())
@@ -181,7 +188,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &Send{
-		Request: r.q, Upstream: t.Upstream, Hops: t.Hops, Left: time.Until(r.q.Until), LastEvent: r.lastText,
+		Request: r.q, Upstream: t.Upstream, Hops: t.Hops(), Left: time.Until(r.q.Until), LastEvent: r.lastText,
 		Team: r.q.Team.Name, Priority: -1,
 	}
 	if r.q.Service.Engine != nil {
--- a/core/carry/repeat.go
+++ b/core/carry/repeat.go
@@ -88,7 +88,9 @@
 func (r *run) unsent(ctx context.Context, key board.Key, err error) reply.Outcome {
 	var e *SendError
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errSlow), errors.Is(cause, errSilent):
+	case errors.Is(cause, errSilent):
+		return reply.NewUnknown(reply.Silent, cause.Error())
+	case errors.Is(cause, errSlow):
 		r.c.board.Alive(key, true, 0)
 		r.excludeOne(key.ID)
 		return reply.NewUnknown(reply.Silent, cause.Error())
@@ -124,7 +126,7 @@
 
 // culprit returns the part at the address that a refusal names, or the upstream that sent it.
 func (r *run) culprit(t *board.Ticket, address string) board.Key {
-	for _, h := range t.Hops {
+	for _, h := range t.Hops() {
 		if h.Upstream.Address == address {
 			return board.KeyOf(h.Upstream)
 		}
--- a/core/carry/stream.go
+++ b/core/carry/stream.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/reply"
@@ -17,39 +16,15 @@
 
 const streaming = rules.Streaming
 
-// Silence that makes a stream's attempt be given up: a multiple of what is predicted, within bounds. Callers leave
-// after two seconds or more without an event.
-const (
-	firstFactor  = 3
-	firstLeast   = 500 * time.Millisecond
-	firstMost    = 1200 * time.Millisecond
-	pauseFactor  = 6
-	pauseLeast   = 300 * time.Millisecond
-	pauseMost    = 900 * time.Millisecond
-	eventsBuffer = 4 << 10 // bytes
-)
-
-func silenceBefore(e board.Estimate) time.Duration {
-	return min(firstMost, max(firstLeast, firstFactor*e.First))
-}
-
-func silenceBetween(e board.Estimate) time.Duration {
-	return min(pauseMost, max(pauseLeast, pauseFactor*e.Pause))
-}
+const eventsBuffer = 4 << 10 // bytes
 
 // stream makes an attempt whose events are passed on one by one.
 func (r *run) stream(ctx context.Context, cancel context.CancelCauseFunc, t *board.Ticket, s *Send) reply.Outcome {
-	key := board.KeyOf(t.Upstream)
-	var watch *time.Timer
-	if r.mayTryOther() {
-		watch = time.AfterFunc(silenceBefore(t.Expected), func() { cancel(errSilent) })
-	} else {
-		watch = time.AfterFunc(s.Left, func() { cancel(errSilent) })
-	}
-	defer watch.Stop()
+	w := newWatch(ctx, cancel, r, t)
+	defer w.stop()
 	a, err := r.c.transport.Send(ctx, s)
 	if err != nil {
-		return r.unsent(ctx, key, err)
+		return r.unsent(ctx, board.KeyOf(t.Upstream), err)
 	}
 	defer a.Body.Close()
 	if outcome := r.refused(t, a); outcome != nil {
@@ -58,7 +33,7 @@
 	if a.Status != http.StatusOK {
 		return r.failed(t, a)
 	}
-	return r.events(ctx, t, a, watch)
+	return r.events(ctx, t, a, w)
 }
 
 // failed passes on an upstream's own failure, or has another tried.
@@ -82,7 +57,7 @@
 }
 
 // events passes on whole events until the stream ends.
-func (r *run) events(ctx context.Context, t *board.Ticket, a *Answer, watch *time.Timer) reply.Outcome {
+func (r *run) events(ctx context.Context, t *board.Ticket, a *Answer, w *watch) reply.Outcome {
 	in := bufio.NewReaderSize(a.Body, eventsBuffer)
 	first := true
 	for {
@@ -104,7 +79,7 @@
 			t.Reading()
 			r.c.board.Alive(board.KeyOf(t.Upstream), false, 0)
 		}
-		watch.Reset(r.patience(t))
+		w.progress()
 		if !r.begun {
 			r.begun = true
 			r.sink.Begin(a.Status, a.Header)
@@ -119,14 +94,6 @@
 	}
 }
 
-// patience returns how long the next event may take.
-func (r *run) patience(t *board.Ticket) time.Duration {
-	if r.mayTryOther() {
-		return silenceBetween(t.Expected)
-	}
-	return time.Until(r.q.Until)
-}
-
 // whole200 ends a stream that came to its end.
 func (r *run) whole200(t *board.Ticket, a *Answer) reply.Outcome {
 	r.c.board.Alive(board.KeyOf(t.Upstream), false, 0)
@@ -142,8 +109,6 @@
 	key := board.KeyOf(t.Upstream)
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errSilent):
-		r.c.board.Strike(key)
-		r.excludeOne(key.ID)
 		return reply.NewUnknown(reply.Silent, cause.Error())
 	case errors.Is(cause, context.Canceled):
 		return reply.NewUnknown(reply.Canceled, "the caller went away")
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -8,6 +8,7 @@
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/place"
 	"rhubarbspread/core/rules"
 )
 
@@ -108,6 +109,12 @@
 	Write(p []byte) error
 }
 
+// Engines asks upstreams for reports and leads running requests along other paths.
+type Engines interface {
+	Report(ctx context.Context, u *fleet.Upstream) (place.Report, error)
+	Repath(ctx context.Context, u *fleet.Upstream, id string, hops []board.Hop) error
+}
+
 // World is what a carrier sees of the fleet at the time of an attempt.
 type World interface {
 	// Upstreams returns a service's upstreams.
--- /dev/null
+++ b/core/carry/watch.go
@@ -0,0 +1,235 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/place"
+)
+
+// Times of a stream's silence. Callers leave after two seconds or more without an event.
+const (
+	quietFactor  = 3                      // of the predicted time after which a silent stream is looked at
+	quietFirst   = 350 * time.Millisecond // least silence before the first event
+	quietBetween = 200 * time.Millisecond // least silence between events
+	quietMost    = 600 * time.Millisecond
+	lookAgain    = 150 * time.Millisecond  // between looks; reports lag by some hundred milliseconds
+	giveUpAfter  = 1400 * time.Millisecond // of silence, where another path is free and the caller still waits
+	reportLimit  = 250 * time.Millisecond  // after which an upstream that does not report counts as dead
+	reportAge    = 100 * time.Millisecond  // for which one report serves all that ask
+	repathLimit  = 300 * time.Millisecond
+)
+
+// watch looks after one attempt's silence.
+type watch struct {
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	run     *run
+	ticket  *board.Ticket
+	mu      sync.Mutex
+	timer   *time.Timer
+	last    time.Time // of the latest event, or of the start
+	begun   bool
+	bypass  bool // the path was changed during this silence
+	stopped bool
+}
+
+func newWatch(ctx context.Context, cancel context.CancelCauseFunc, r *run, t *board.Ticket) *watch {
+	w := &watch{ctx: ctx, cancel: cancel, run: r, ticket: t, last: time.Now()}
+	w.timer = time.AfterFunc(w.quiet(), w.look)
+	return w
+}
+
+// quiet returns how long the stream may be silent before it is looked at.
+func (w *watch) quiet() time.Duration {
+	if w.begun {
+		return min(quietMost, max(quietBetween, quietFactor*w.ticket.Expected.Pause))
+	}
+	return min(quietMost, max(quietFirst, quietFactor*w.ticket.Expected.First))
+}
+
+// progress notes an event.
+func (w *watch) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begun, w.bypass = true, false
+	w.last = time.Now()
+	w.timer.Reset(w.quiet())
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// silence returns how long the stream has been silent, and whether it still runs.
+func (w *watch) silence() (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.last), !w.stopped && w.ctx.Err() == nil
+}
+
+// look finds out why the stream is silent and acts on it.
+func (w *watch) look() {
+	silent, runs := w.silence()
+	if !runs {
+		return
+	}
+	r, t := w.run, w.ticket
+	report, err := r.c.doctor.report(w.ctx, t.Upstream)
+	if now, runs := w.silence(); !runs || now < silent {
+		return // an event came meanwhile, and the timer runs again
+	}
+	failed := r.stalledPart(t, report)
+	switch {
+	case err != nil:
+		w.lost(t.Upstream, err)
+	case failed != nil:
+		w.stalled(failed)
+	case silent > giveUpAfter && r.mayTryOther() && r.hasOther(t):
+		w.giveUp("the stream is slow")
+	default:
+		w.again()
+	}
+}
+
+func (w *watch) again() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(lookAgain)
+	}
+}
+
+// lost acts on a first part that does not report.
+func (w *watch) lost(u *fleet.Upstream, err error) {
+	if w.ctx.Err() != nil {
+		return
+	}
+	rest := w.run.c.board.Strike(board.KeyOf(u))
+	w.run.c.log.Info("upstream-silent", "request", w.run.q.ID, "upstream", u.ID, "cause", err.Error(), "rest-ms", rest.Milliseconds())
+	if w.run.mayTryOther() {
+		w.run.excludeOne(u.ID)
+		w.giveUp("its first upstream is silent")
+		return
+	}
+	w.again()
+}
+
+// stalled acts on a part that the first one waits for: another takes its layers over, or the request is sent
+// along another path.
+func (w *watch) stalled(u *fleet.Upstream) {
+	r, t := w.run, w.ticket
+	rest := r.c.board.Strike(board.KeyOf(u))
+	w.mu.Lock()
+	tried := w.bypass
+	w.bypass = true
+	w.mu.Unlock()
+	if tried {
+		w.again() // the report may be older than the change of path
+		return
+	}
+	before := board.Describe(t.Hops())
+	err := errNoWay
+	if t.Bypass(r.c.world.Upstreams(r.q.Service.Name), r.need(), u.ID) {
+		ctx, cancel := context.WithTimeout(w.ctx, repathLimit)
+		defer cancel()
+		err = r.c.engines.Repath(ctx, t.Upstream, r.q.ID, t.Hops())
+	}
+	if err == nil {
+		r.c.log.Info("path-changed", "request", r.q.ID, "failed", u.ID, "before", before, "after", board.Describe(t.Hops()), "rest-ms", rest.Milliseconds())
+		w.again()
+		return
+	}
+	r.c.log.Info("path-kept", "request", r.q.ID, "failed", u.ID, "path", before, "cause", err.Error(), "rest-ms", rest.Milliseconds())
+	if r.mayTryOther() {
+		r.excludeOne(u.ID)
+		w.giveUp("a part of its path is silent")
+		return
+	}
+	w.again()
+}
+
+var errNoWay = errors.New("no other upstream has the layers and room")
+
+func (w *watch) giveUp(cause string) {
+	w.run.c.log.Info("attempt-given-up", "request", w.run.q.ID, "upstream", w.ticket.Upstream.ID, "cause", cause)
+	w.cancel(errSilent)
+}
+
+// stalledPart returns the part that a report says the request waits for, or nil.
+func (r *run) stalledPart(t *board.Ticket, report place.Report) *fleet.Upstream {
+	address, ok := report.Stalled[r.q.ID]
+	if !ok {
+		return nil
+	}
+	for _, h := range t.Hops() {
+		if h.Upstream.Address == address {
+			return h.Upstream
+		}
+	}
+	return nil
+}
+
+// hasOther reports whether another path than a ticket's has room now.
+func (r *run) hasOther(t *board.Ticket) bool {
+	need := r.need()
+	need.Exclude = append(need.Exclude, t.Upstream.ID)
+	other := r.c.board.Path(r.c.world.Upstreams(r.q.Service.Name), need)
+	if other == nil {
+		return false
+	}
+	other.Release()
+	return true
+}
+
+// doctor asks upstreams for reports, one at a time for all streams that wait for the same upstream.
+type doctor struct {
+	engines Engines
+	mu      sync.Mutex
+	by      map[board.Key]*examination
+}
+
+type examination struct {
+	done   chan struct{}
+	at     time.Time // when it was done
+	report place.Report
+	err    error
+}
+
+func (d *doctor) report(ctx context.Context, u *fleet.Upstream) (place.Report, error) {
+	k := board.KeyOf(u)
+	d.mu.Lock()
+	if d.by == nil {
+		d.by = make(map[board.Key]*examination)
+	}
+	x := d.by[k]
+	if x == nil || !x.at.IsZero() && time.Since(x.at) > reportAge {
+		x = &examination{done: make(chan struct{})}
+		d.by[k] = x
+		go d.examine(u, x)
+	}
+	d.mu.Unlock()
+	select {
+	case <-x.done:
+		return x.report, x.err
+	case <-ctx.Done():
+		return place.Report{}, ctx.Err()
+	}
+}
+
+func (d *doctor) examine(u *fleet.Upstream, x *examination) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+	defer cancel()
+	report, err := d.engines.Report(ctx, u)
+	d.mu.Lock()
+	x.report, x.err, x.at = report, err, time.Now()
+	d.mu.Unlock()
+	close(x.done)
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -30,6 +30,13 @@
 	return &Window{share: share, extra: extra, window: window, nodes: unknownNodes, now: time.Now, by: make(map[string]*purse)}
 }
 
+// SetBounds changes the share, the extra and the window.
+func (w *Window) SetBounds(share, extra float64, window time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.share, w.extra, w.window = share, extra, window
+}
+
 // SetNodes tells how many nodes share the extra.
 func (w *Window) SetNodes(n int) {
 	w.mu.Lock()
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -44,12 +44,19 @@
 	Judge(id string, status int, h http.Header) carry.Verdict
 }
 
+// Engines gives orders to upstreams and asks for their reports.
+type Engines interface {
+	place.Engines
+	carry.Engines
+}
+
 // Platform is what the node needs of the platform.
 type Platform struct {
 	Wire        Wire
 	Table       store.Table
 	Feed        store.Feed
-	Engines     func(*hop.Pool) place.Engines
+	Engines     func(*hop.Pool) Engines
+	Settings    func() (Config, error) // reads them anew
 	Rules       func(raw []byte) (*rules.Rules, error)
 	Upstream    func(id string, raw []byte) (*fleet.Upstream, error)
 	ReadyPath   string
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -43,7 +43,8 @@
 
 // Node is one running node.
 type Node struct {
-	config   Config
+	config   Config                 // as at the start
+	settings atomic.Pointer[Config] // as they are now
 	platform Platform
 	log      logr.Logger
 	view     atomic.Pointer[View]
@@ -74,10 +75,12 @@
 		budget:    retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeLost: make(map[store.Topic]bool), storeAt: make(map[store.Topic]time.Time),
 	}
+	n.settings.Store(&c)
 	n.pool = hop.NewPool(func() { n.dials.Add(1) })
-	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.board, n, n.budget, n.log)
+	engines := p.Engines(n.pool)
+	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, engines, n.board, n, n.budget, n.log)
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
-	n.planner = place.NewPlanner(p.Engines(n.pool), n.lease.Valid, n.log)
+	n.planner = place.NewPlanner(engines, n.lease.Valid, n.log)
 	n.mesh = mesh.New(mesh.Config{Node: c.Node, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
 	return n
 }
@@ -178,12 +181,13 @@
 // stop refuses new connections once the balancer knows, lets what is under way end, and closes.
 func (n *Node) stop(door *http.Server) {
 	began := time.Now()
+	grace := n.settings.Load().Grace
 	n.stopping.Store(true)
 	n.log.Info("stop", "active", n.active.Load(), "connections", n.conns.Load())
-	notice, cancel := context.WithTimeout(context.Background(), time.Duration(stopAccepting*float64(n.config.Grace)))
+	notice, cancel := context.WithTimeout(context.Background(), time.Duration(stopAccepting*float64(grace)))
 	defer cancel()
 	waitIdle(notice, func() bool { return time.Since(began) > balancerTime && n.conns.Load() == 0 })
-	last, cancelLast := context.WithDeadline(context.Background(), began.Add(n.config.Grace-stopMargin))
+	last, cancelLast := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
 	defer cancelLast()
 	if err := door.Shutdown(last); err != nil {
 		n.log.Info("stop-cut", "active", n.active.Load(), "cause", err.Error())
@@ -241,6 +245,7 @@
 	d.start(func() error { return n.askAround(ctx, changes) })
 	d.start(func() error { return n.plan(ctx) })
 	d.start(func() error { return n.sweep(ctx) })
+	d.start(func() error { return n.reload(ctx) })
 	leaseEnd := n.lease.Run(ctx)
 	d.start(func() error { return <-leaseEnd })
 	return d
