Lead streams round several lost parts, leave out a cut data centre, wait for entries that lapse at a return

Cause: 135 of 343 ways round failed, most with 409 since the part chosen instead was lost as well; a failed change of path left the ticket on the new one (400 at the next try); a node of a cut data centre dropped 16 upstreams at its return.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -65,6 +65,8 @@
 	states map[Key]*state
 	peers  map[string]peerClaims
 	freed  chan struct{} // closed and replaced when room may have come free
+	centre string        // the node's own data centre
+	cuts   map[string]*cut
 	nodes  int
 }
 
@@ -86,6 +88,9 @@
 	return func(b *Board) { b.random = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithDataCentre sets the node's own data centre, which is never thought to be cut off.
+func WithDataCentre(name string) Option { return func(b *Board) { b.centre = name } }
+
 // New returns an empty board.
 func New(opts ...Option) *Board {
 	b := &Board{
@@ -94,6 +99,7 @@
 		states: make(map[Key]*state),
 		peers:  make(map[string]peerClaims),
 		freed:  make(chan struct{}),
+		cuts:   make(map[string]*cut),
 		nodes:  1,
 	}
 	for _, o := range opts {
@@ -163,11 +169,13 @@
 }
 
 // Strike notes that an upstream broke a connection, fell silent or can't be reached, and returns how long it rests.
-func (b *Board) Strike(k Key) time.Duration {
+func (b *Board) Strike(u *fleet.Upstream) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	k := KeyOf(u)
 	s := b.state(k)
 	now := b.now()
+	b.noteCut(u, now)
 	if now.Before(s.deadUntil) {
 		return s.deadUntil.Sub(now) // one loss is seen by many requests
 	}
@@ -177,6 +185,48 @@
 	return rest
 }
 
+// cut is the evidence that a data centre can't be reached.
+type cut struct {
+	struck map[Key]time.Time
+	until  time.Time
+}
+
+// Constants of the evidence that a data centre is cut off.
+const (
+	cutStrikes = 3               // upstreams of it that break within cutWindow and with no sign of life between them
+	cutWindow  = time.Second     //
+	cutTime    = 1 * time.Second // that its other upstreams are left out then
+)
+
+// noteCut takes a strike as evidence against the upstream's data centre.
+func (b *Board) noteCut(u *fleet.Upstream, now time.Time) {
+	if u.DataCentre == b.centre {
+		return
+	}
+	c := b.cuts[u.DataCentre]
+	if c == nil {
+		c = &cut{struck: make(map[Key]time.Time)}
+		b.cuts[u.DataCentre] = c
+	}
+	c.struck[KeyOf(u)] = now
+	recent := 0
+	for k, at := range c.struck {
+		if now.Sub(at) > cutWindow {
+			delete(c.struck, k)
+			continue
+		}
+		recent++
+	}
+	if recent >= cutStrikes {
+		c.until = now.Add(cutTime)
+	}
+}
+
+func (b *Board) isCut(centre string, now time.Time) bool {
+	c := b.cuts[centre]
+	return c != nil && now.Before(c.until)
+}
+
 // Resting reports whether an upstream rests after a strike.
 func (b *Board) Resting(k Key) bool {
 	b.mu.Lock()
@@ -186,10 +236,11 @@
 }
 
 // Alive notes that an upstream answered; took is the time of a plain answer, or 0.
-func (b *Board) Alive(k Key, failed bool, took time.Duration) {
+func (b *Board) Alive(u *fleet.Upstream, failed bool, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(k)
+	delete(b.cuts, u.DataCentre)
+	s := b.state(KeyOf(u))
 	if !failed {
 		s.strikes = 0
 		s.deadUntil = time.Time{}
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -62,41 +62,55 @@
 	}
 }
 
-// Bypass gives the layers of a part that failed to other upstreams and reserves room there; the first part can't
-// be bypassed. It reports whether there is a way round; the path before is given back by Release all the same.
-func (t *Ticket) Bypass(list []*fleet.Upstream, n *Need, failed string) bool {
+// Bypass changes a ticket's path so that the layers of parts that failed are run by other upstreams, and reserves
+// room there. The first part can't be bypassed. It returns the path of before, or false if there is no way round.
+func (t *Ticket) Bypass(list []*fleet.Upstream, n *Need, failed []string) ([]Hop, bool) {
 	b := t.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var hops []Hop
-	found := false
 	need := *n
+	need.Exclude = slices.Concat(n.Exclude, failed)
 	for _, h := range t.hops {
 		need.Exclude = append(need.Exclude, h.Upstream.ID)
 	}
+	var hops []Hop
 	for i, h := range t.hops {
-		if h.Upstream.ID != failed || i == 0 {
+		if i == 0 || !contains(failed, h.Upstream.ID) {
 			hops = append(hops, h)
 			continue
 		}
 		round := b.search(list, &need, h.Layers, t.hops[i-1].Upstream.DataCentre, false)
 		if round == nil {
-			return false
+			return nil, false
+		}
+		for _, r := range round {
+			need.Exclude = append(need.Exclude, r.Upstream.ID)
 		}
 		hops = append(hops, round...)
-		found = true
 	}
-	if !found || len(hops) > mostParts {
-		return false
+	if len(hops) > mostParts {
+		return nil, false
 	}
+	before := t.hops
+	t.follow(hops)
+	return before, true
+}
+
+// Restore puts a ticket back on a path of before.
+func (t *Ticket) Restore(hops []Hop) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	t.follow(hops)
+}
+
+func (t *Ticket) follow(hops []Hop) {
 	for _, h := range t.hops {
-		b.hold(t, h, -1)
+		t.board.hold(t, h, -1)
 	}
 	t.hops = hops
 	for _, h := range t.hops {
-		b.hold(t, h, 1)
+		t.board.hold(t, h, 1)
 	}
-	return true
 }
 
 // mostParts is how many parts upstreams accept in a path.
@@ -227,7 +241,7 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if now.Before(s.fullUntil) || now.Before(s.deadUntil) && !resting {
+		if now.Before(s.fullUntil) || !resting && (now.Before(s.deadUntil) || b.isCut(u.DataCentre, now)) {
 			continue
 		}
 		total := n.Engine.Room(card, u.Layers.Len()) * roomReserve
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -208,10 +208,9 @@
 		defer cancel()
 	}
 	began := time.Now()
-	key := board.KeyOf(t.Upstream)
 	a, err := r.c.transport.Send(ctx, s)
 	if err != nil {
-		return r.unsent(ctx, key, err)
+		return r.unsent(ctx, t.Upstream, err)
 	}
 	defer a.Body.Close()
 	if outcome := r.refused(t, a); outcome != nil {
@@ -219,11 +218,11 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswer))
 	if err != nil {
-		r.c.board.Strike(key)
+		r.c.board.Strike(t.Upstream)
 		r.excludeOne(t.Upstream.ID)
 		return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
 	}
-	r.c.board.Alive(key, a.Status >= http.StatusInternalServerError, time.Since(began))
+	r.c.board.Alive(t.Upstream, a.Status >= http.StatusInternalServerError, time.Since(began))
 	if a.Status >= http.StatusInternalServerError && r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
 		r.excludeOne(t.Upstream.ID)
 		r.paid = true
--- a/core/carry/repeat.go
+++ b/core/carry/repeat.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rhubarbspread/core/board"
+	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/reply"
 )
 
@@ -85,22 +86,22 @@
 }
 
 // unsent turns the transport's error into an outcome.
-func (r *run) unsent(ctx context.Context, key board.Key, err error) reply.Outcome {
+func (r *run) unsent(ctx context.Context, u *fleet.Upstream, err error) reply.Outcome {
 	var e *SendError
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errSilent):
 		return reply.NewUnknown(reply.Silent, cause.Error())
 	case errors.Is(cause, errSlow):
-		r.c.board.Alive(key, true, 0)
-		r.excludeOne(key.ID)
+		r.c.board.Alive(u, true, 0)
+		r.excludeOne(u.ID)
 		return reply.NewUnknown(reply.Silent, cause.Error())
 	case errors.Is(cause, context.Canceled):
 		return reply.NewUnknown(reply.Canceled, "the caller went away")
 	case errors.Is(cause, context.DeadlineExceeded):
 		return reply.NewUnknown(reply.Silent, "its time is over")
 	}
-	r.excludeOne(key.ID)
-	r.c.board.Strike(key)
+	r.excludeOne(u.ID)
+	r.c.board.Strike(u)
 	if errors.As(err, &e) && !e.Sent() {
 		return reply.NewNotSent(err.Error())
 	}
@@ -109,29 +110,21 @@
 
 // refused returns the outcome of an answer that is none of the request's, or nil.
 func (r *run) refused(t *board.Ticket, a *Answer) reply.Outcome {
-	key := board.KeyOf(t.Upstream)
 	switch {
 	case a.NotRun:
-		culprit := r.culprit(t, a.Culprit)
+		culprit := partAt(t.Hops(), a.Culprit)
+		if culprit == nil {
+			culprit = t.Upstream
+		}
 		r.excludeOne(culprit.ID)
-		r.c.board.Full(culprit)
+		r.c.board.Full(board.KeyOf(culprit))
 		return reply.NewRefused(a.Status, "refused by "+culprit.ID, 0)
 	case a.Foreign || a.Status < http.StatusMultipleChoices && !a.Sealed:
-		r.excludeOne(key.ID)
-		r.c.board.Alive(key, true, 0)
+		r.excludeOne(t.Upstream.ID)
+		r.c.board.Alive(t.Upstream, true, 0)
 		return reply.NewUnknown(reply.Broken, "the answer is not the upstream's own to this request")
 	}
 	return nil
 }
 
-// culprit returns the part at the address that a refusal names, or the upstream that sent it.
-func (r *run) culprit(t *board.Ticket, address string) board.Key {
-	for _, h := range t.Hops() {
-		if h.Upstream.Address == address {
-			return board.KeyOf(h.Upstream)
-		}
-	}
-	return board.KeyOf(t.Upstream)
-}
-
 func (r *run) excludeOne(id string) { r.exclude = append(r.exclude, id) }
--- a/core/carry/stream.go
+++ b/core/carry/stream.go
@@ -24,7 +24,7 @@
 	defer w.stop()
 	a, err := r.c.transport.Send(ctx, s)
 	if err != nil {
-		return r.unsent(ctx, board.KeyOf(t.Upstream), err)
+		return r.unsent(ctx, t.Upstream, err)
 	}
 	defer a.Body.Close()
 	if outcome := r.refused(t, a); outcome != nil {
@@ -38,7 +38,7 @@
 
 // failed passes on an upstream's own failure, or has another tried.
 func (r *run) failed(t *board.Ticket, a *Answer) reply.Outcome {
-	r.c.board.Alive(board.KeyOf(t.Upstream), true, 0)
+	r.c.board.Alive(t.Upstream, true, 0)
 	r.excludeOne(t.Upstream.ID)
 	if r.begun || r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
 		r.paid = true
@@ -77,7 +77,7 @@
 		if first {
 			first = false
 			t.Reading()
-			r.c.board.Alive(board.KeyOf(t.Upstream), false, 0)
+			r.c.board.Alive(t.Upstream, false, 0)
 		}
 		w.progress()
 		if !r.begun {
@@ -96,7 +96,7 @@
 
 // whole200 ends a stream that came to its end.
 func (r *run) whole200(t *board.Ticket, a *Answer) reply.Outcome {
-	r.c.board.Alive(board.KeyOf(t.Upstream), false, 0)
+	r.c.board.Alive(t.Upstream, false, 0)
 	if !r.begun {
 		r.begun = true
 		r.sink.Begin(a.Status, a.Header)
@@ -106,7 +106,6 @@
 
 // brokeOff says how a stream ended that has no end.
 func (r *run) brokeOff(ctx context.Context, t *board.Ticket, err error) reply.Outcome {
-	key := board.KeyOf(t.Upstream)
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errSilent):
 		return reply.NewUnknown(reply.Silent, cause.Error())
@@ -115,6 +114,6 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return reply.NewUnknown(reply.Silent, "its time is over")
 	}
-	r.excludeOne(key.ID)
+	r.excludeOne(t.Upstream.ID)
 	return reply.NewUnknown(reply.Broken, "the stream broke off: "+err.Error())
 }
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -112,7 +112,8 @@
 // Engines asks upstreams for reports and leads running requests along other paths.
 type Engines interface {
 	Report(ctx context.Context, u *fleet.Upstream) (place.Report, error)
-	Repath(ctx context.Context, u *fleet.Upstream, id string, hops []board.Hop) error
+	// Repath leads the request of an ID along another path. With its error it names the part at fault, by address.
+	Repath(ctx context.Context, u *fleet.Upstream, id string, hops []board.Hop) (string, error)
 }
 
 // World is what a carrier sees of the fleet at the time of an attempt.
--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -112,7 +112,7 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	rest := w.run.c.board.Strike(board.KeyOf(u))
+	rest := w.run.c.board.Strike(u)
 	w.run.c.log.Info("upstream-silent", "request", w.run.q.ID, "upstream", u.ID, "cause", err.Error(), "rest-ms", rest.Milliseconds())
 	if w.run.mayTryOther() {
 		w.run.excludeOne(u.ID)
@@ -126,7 +126,7 @@
 // along another path.
 func (w *watch) stalled(u *fleet.Upstream) {
 	r, t := w.run, w.ticket
-	rest := r.c.board.Strike(board.KeyOf(u))
+	rest := r.c.board.Strike(u)
 	w.mu.Lock()
 	tried := w.bypass
 	w.bypass = true
@@ -136,26 +136,58 @@
 		return
 	}
 	before := board.Describe(t.Hops())
-	err := errNoWay
-	if t.Bypass(r.c.world.Upstreams(r.q.Service.Name), r.need(), u.ID) {
-		ctx, cancel := context.WithTimeout(w.ctx, repathLimit)
-		defer cancel()
-		err = r.c.engines.Repath(ctx, t.Upstream, r.q.ID, t.Hops())
-	}
-	if err == nil {
-		r.c.log.Info("path-changed", "request", r.q.ID, "failed", u.ID, "before", before, "after", board.Describe(t.Hops()), "rest-ms", rest.Milliseconds())
+	if err := r.bypass(w.ctx, t, u); err != nil {
+		r.c.log.Info("path-kept", "request", r.q.ID, "failed", u.ID, "path", before, "cause", err.Error(), "rest-ms", rest.Milliseconds())
+		if r.mayTryOther() {
+			r.excludeOne(u.ID)
+			w.giveUp("a part of its path is silent")
+			return
+		}
 		w.again()
 		return
 	}
-	r.c.log.Info("path-kept", "request", r.q.ID, "failed", u.ID, "path", before, "cause", err.Error(), "rest-ms", rest.Milliseconds())
-	if r.mayTryOther() {
-		r.excludeOne(u.ID)
-		w.giveUp("a part of its path is silent")
-		return
-	}
+	r.c.log.Info("path-changed", "request", r.q.ID, "failed", u.ID, "before", before, "after", board.Describe(t.Hops()), "rest-ms", rest.Milliseconds())
 	w.again()
 }
 
+// bypassTries is how many ways round a failed part are tried: one may lead to another part that is lost as well.
+const bypassTries = 3
+
+// bypass leads a running request past a part that failed.
+func (r *run) bypass(ctx context.Context, t *board.Ticket, u *fleet.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, repathLimit)
+	defer cancel()
+	failed := []string{u.ID}
+	for range bypassTries {
+		before, ok := t.Bypass(r.c.world.Upstreams(r.q.Service.Name), r.need(), failed)
+		if !ok {
+			return errNoWay
+		}
+		culprit, err := r.c.engines.Repath(ctx, t.Upstream, r.q.ID, t.Hops())
+		if err == nil {
+			return nil
+		}
+		other := partAt(t.Hops(), culprit)
+		t.Restore(before)
+		if other == nil || other == t.Upstream {
+			return err
+		}
+		r.c.board.Strike(other)
+		failed = append(failed, other.ID)
+	}
+	return errNoWay
+}
+
+// partAt returns the part of a path at an address, or nil.
+func partAt(hops []board.Hop, address string) *fleet.Upstream {
+	for _, h := range hops {
+		if h.Upstream.Address == address {
+			return h.Upstream
+		}
+	}
+	return nil
+}
+
 var errNoWay = errors.New("no other upstream has the layers and room")
 
 func (w *watch) giveUp(cause string) {
@@ -169,12 +201,7 @@
 	if !ok {
 		return nil
 	}
-	for _, h := range t.Hops() {
-		if h.Upstream.Address == address {
-			return h.Upstream
-		}
-	}
-	return nil
+	return partAt(t.Hops(), address)
 }
 
 // hasOther reports whether another path than a ticket's has room now.
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -26,6 +26,7 @@
 	log     logr.Logger
 	now     func() time.Time
 	pending map[string]pending
+	told    time.Time
 }
 
 // pending is an order that the platform's list does not show yet.
@@ -56,6 +57,7 @@
 		byID[u.ID] = u
 		members = append(members, p.member(u, card))
 	}
+	p.tell(e, members)
 	moves := Plan(e, members)
 	var all sync.WaitGroup
 	gate := make(chan struct{}, mostAtATime)
@@ -75,6 +77,19 @@
 	}
 }
 
+// tellPause is the time between two log lines on coverage.
+const tellPause = time.Second
+
+// tell logs how well the layers are held.
+func (p *Planner) tell(e *rules.Engine, members []Member) {
+	if p.now().Sub(p.told) < tellPause {
+		return
+	}
+	p.told = p.now()
+	s := Summarize(e, members)
+	p.log.Info("coverage", "upstreams", len(members), "least-copies", s.LeastCopies, "least-room", int(s.LeastRoom), "whole-data-centres", s.WholeCentres)
+}
+
 type pendingOf struct {
 	id string
 	pending
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -78,6 +78,9 @@
 func (n *Node) lapsesUntil() time.Time {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
+	if n.storeLost[store.Upstreams] {
+		return time.Now().Add(lapseGrace) // another node told, which may itself be back since a moment
+	}
 	return n.storeBack.Add(lapseGrace)
 }
 
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -71,7 +71,7 @@
 func New(c Config, p Platform, log logr.Logger) *Node {
 	n := &Node{
 		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
-		board:     board.New(),
+		board:     board.New(board.WithDataCentre(c.DataCentre)),
 		budget:    retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeLost: make(map[store.Topic]bool), storeAt: make(map[store.Topic]time.Time),
 	}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -131,7 +131,9 @@
 			return
 		}
 		if until := c.node.lapsesUntil(); time.Now().Before(until) && !old.Draining {
-			c.gone[it.Key] = until
+			if _, ok := c.gone[it.Key]; !ok {
+				c.gone[it.Key] = until
+			}
 			return
 		}
 		c.remove(it.Key, "its entry is gone")
