--- a/core/board/board.go
+++ b/core/board/board.go
@@ -37,9 +37,12 @@
 	first     int       // those that were sent to it
 	reading   float64   // prompt tokens x layers of those without an event yet
 	others    Claim     // of the other nodes together
-	fullUntil time.Time // it said that it takes nothing more
-	deadUntil time.Time // it fell silent or broke connections
+	restUntil time.Time // it refused, fell silent or broke connections
+	trial     time.Time // until when one request tries it after a rest
 	strikes   int       // such signs in a row
+	refusals  int       // refusals in a row
+	alive     time.Time // of the latest sign of life
+	doubted   int       // other nodes for which it rests
 	errors    float64   // share of its latest answers that failed, decayed
 	took      float64   // mean time of a plain answer, ms, decayed
 }
@@ -154,37 +157,106 @@
 
 // Times of evidence.
 const (
-	fullTime   = 150 * time.Millisecond // a refusal for want of room says little about later than a few answers
+	fullTime   = 100 * time.Millisecond // first rest of an upstream that refused
 	strikeTime = 400 * time.Millisecond // first rest of an upstream that broke or fell silent
 	restLimit  = 3 * time.Second        // longest rest between two trials of such an upstream
+	fullLimit  = time.Second            // the same after refusals, which may be for want of room alone
+	trialTime  = 700 * time.Millisecond // in which the one request that tries an upstream should tell of it
+	aliveTime  = time.Second            // for which an own sign of life outweighs what other nodes say
+	doubters   = 2                      // other nodes for which an upstream must rest to be left out here too
 	errorDecay = 0.2                    // weight of the latest answer in the share of failures
 	claimLife  = 2 * time.Second        // after which another node's claims no longer count
+	doublings  = 4                      // of a rest
 )
 
-// Full notes that an upstream refused for want of room.
-func (b *Board) Full(k Key) {
+// Full notes that an upstream refused, which a dead part of a path does as well as a full one.
+func (b *Board) Full(u *fleet.Upstream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(k).fullUntil = b.now().Add(fullTime)
+	s := b.state(KeyOf(u))
+	now := b.now()
+	if now.Before(s.restUntil) {
+		return
+	}
+	s.restUntil = now.Add(min(fullTime<<min(s.refusals, doublings), fullLimit))
+	s.trial = time.Time{}
+	s.refusals++
 }
 
 // Strike notes that an upstream broke a connection, fell silent or can't be reached, and returns how long it rests.
 func (b *Board) Strike(u *fleet.Upstream) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	k := KeyOf(u)
-	s := b.state(k)
+	s := b.state(KeyOf(u))
 	now := b.now()
 	b.noteCut(u, now)
-	if now.Before(s.deadUntil) {
-		return s.deadUntil.Sub(now) // one loss is seen by many requests
+	if now.Before(s.restUntil) && s.strikes > 0 {
+		return s.restUntil.Sub(now) // one loss is seen by many requests
 	}
-	rest := min(strikeTime<<min(s.strikes, 4), restLimit)
+	rest := min(strikeTime<<min(s.strikes, doublings), restLimit)
 	s.strikes++
-	s.deadUntil = now.Add(rest)
+	s.restUntil = now.Add(rest)
+	s.trial = time.Time{}
 	return rest
 }
 
+// Silent reports whether an upstream has been found dead again after a rest, and by no sign alive since.
+func (b *Board) Silent(u *fleet.Upstream) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[KeyOf(u)]
+	return s != nil && (s.strikes > 1 || s.doubted >= doubters)
+}
+
+// isOut reports whether an upstream is left out of choices now.
+func (b *Board) isOut(u *fleet.Upstream, s *state, now time.Time) bool {
+	if now.Before(s.restUntil) || b.isCut(u.DataCentre, now) {
+		return true
+	}
+	if s.strikes+s.refusals > 0 && now.Before(s.trial) {
+		return true // another request tries it
+	}
+	return s.doubted >= doubters && now.Sub(s.alive) > aliveTime && now.Before(s.trial)
+}
+
+// try notes that a request goes to an upstream that rested.
+func (s *state) try(now time.Time) {
+	if s.strikes+s.refusals > 0 || s.doubted >= doubters {
+		s.trial = now.Add(trialTime)
+	}
+}
+
+// Alive notes that an upstream answered; took is the time of a plain answer, or 0.
+func (b *Board) Alive(u *fleet.Upstream, failed bool, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(KeyOf(u))
+	if !failed {
+		b.lives(u)
+	}
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	s.errors += errorDecay * (share - s.errors)
+	if took > 0 {
+		ms := float64(took) / float64(time.Millisecond)
+		if s.took == 0 {
+			s.took = ms
+		}
+		s.took += errorDecay * (ms - s.took)
+	}
+}
+
+// lives notes a sign of life.
+func (b *Board) lives(u *fleet.Upstream) {
+	delete(b.cuts, u.DataCentre)
+	s := b.state(KeyOf(u))
+	s.strikes, s.refusals = 0, 0
+	s.restUntil, s.trial = time.Time{}, time.Time{}
+	s.alive = b.now()
+}
+
 // cut is the evidence that a data centre can't be reached.
 type cut struct {
 	struck map[Key]time.Time
@@ -227,38 +299,6 @@
 	return c != nil && now.Before(c.until)
 }
 
-// Resting reports whether an upstream rests after a strike.
-func (b *Board) Resting(k Key) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.states[k]
-	return s != nil && b.now().Before(s.deadUntil)
-}
-
-// Alive notes that an upstream answered; took is the time of a plain answer, or 0.
-func (b *Board) Alive(u *fleet.Upstream, failed bool, took time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.cuts, u.DataCentre)
-	s := b.state(KeyOf(u))
-	if !failed {
-		s.strikes = 0
-		s.deadUntil = time.Time{}
-	}
-	share := 0.0
-	if failed {
-		share = 1
-	}
-	s.errors += errorDecay * (share - s.errors)
-	if took > 0 {
-		ms := float64(took) / float64(time.Millisecond)
-		if s.took == 0 {
-			s.took = ms
-		}
-		s.took += errorDecay * (ms - s.took)
-	}
-}
-
 // Claims returns what this node's requests hold, by the upstream's tag.
 func (b *Board) Claims() map[uint32]Claim {
 	b.mu.Lock()
@@ -279,7 +319,7 @@
 	now := b.now()
 	var tags []uint32
 	for _, s := range b.states {
-		if now.Before(s.deadUntil) {
+		if s.strikes > 0 && now.Before(s.restUntil) {
 			tags = append(tags, s.tag)
 		}
 	}
@@ -297,7 +337,7 @@
 func (b *Board) sumPeers() {
 	byTag := make(map[uint32]*state, len(b.states))
 	for _, s := range b.states {
-		s.others = Claim{}
+		s.others, s.doubted = Claim{}, 0
 		byTag[s.tag] = s
 	}
 	now := b.now()
@@ -311,5 +351,10 @@
 				s.others = s.others.add(c)
 			}
 		}
+		for _, tag := range p.rest {
+			if s := byTag[tag]; s != nil {
+				s.doubted++
+			}
+		}
 	}
 }
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -40,13 +40,14 @@
 	if hops == nil {
 		hops = b.search(list, n, whole, "", true)
 	}
-	if hops == nil || twice(hops) {
+	if hops == nil {
 		return nil
 	}
 	t := &Ticket{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt}
 	t.Expected = b.estimate(n, hops)
 	for _, h := range hops {
 		b.hold(t, h, 1)
+		b.state(KeyOf(h.Upstream)).try(b.now())
 	}
 	b.state(KeyOf(t.Upstream)).first++
 	return t
@@ -146,7 +147,7 @@
 		s.done = true
 		for _, c := range usable {
 			u := c.upstream
-			if at.layer < u.Layers.From || at.layer >= u.Layers.To {
+			if at.layer < u.Layers.From || at.layer >= u.Layers.To || isOn(best, at, u) {
 				continue
 			}
 			for _, end := range cuts {
@@ -167,14 +168,15 @@
 	}
 }
 
-// twice reports whether an upstream has two parts of a path, which upstreams refuse.
-func twice(hops []Hop) bool {
-	for i, h := range hops {
-		for _, g := range hops[:i] {
-			if g.Upstream == h.Upstream {
-				return true
-			}
+// isOn reports whether an upstream has a part already on the way to a place, other than the last: upstreams
+// refuse a path that names one twice.
+func isOn(best map[place]*step, at place, u *fleet.Upstream) bool {
+	last := true
+	for s := best[at]; s != nil && s.hop.Upstream != nil; s = best[s.from] {
+		if s.hop.Upstream == u && !last {
+			return true
 		}
+		last = last && s.hop.Upstream == u
 	}
 	return false
 }
@@ -241,7 +243,7 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if now.Before(s.fullUntil) || !resting && (now.Before(s.deadUntil) || b.isCut(u.DataCentre, now)) {
+		if !resting && b.isOut(u, s, now) {
 			continue
 		}
 		total := n.Engine.Room(card, u.Layers.Len()) * roomReserve
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -54,12 +54,12 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if now.Before(s.deadUntil) {
+		if b.isOut(u, s, now) {
 			resting = u
 			continue
 		}
 		running := float64(s.first + s.others.First)
-		if now.Before(s.fullUntil) || running >= float64(u.Slots+queueSlack) {
+		if running >= float64(u.Slots+queueSlack) {
 			continue
 		}
 		load := (running+1)/float64(u.Slots)*max(1, s.took) + s.errors*errorWeight*max(1, s.took) + 0.01*b.random.Float64()
@@ -73,7 +73,9 @@
 	if best == nil {
 		return nil
 	}
-	b.state(KeyOf(best)).first++
+	s := b.state(KeyOf(best))
+	s.first++
+	s.try(now)
 	return &Ticket{board: b, Upstream: best}
 }
 
@@ -93,12 +95,15 @@
 	return t.hops
 }
 
-// Reading notes that a path's first event came, so that the prompt has been read.
+// Reading notes that a path's first event came, so that the prompt has been read and all parts are alive.
 func (t *Ticket) Reading() {
 	b := t.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t.endReading()
+	for _, h := range t.hops {
+		b.lives(h.Upstream)
+	}
 }
 
 func (t *Ticket) endReading() {
--- a/core/carry/repeat.go
+++ b/core/carry/repeat.go
@@ -117,7 +117,7 @@
 			culprit = t.Upstream
 		}
 		r.excludeOne(culprit.ID)
-		r.c.board.Full(board.KeyOf(culprit))
+		r.c.board.Full(culprit)
 		return reply.NewRefused(a.Status, "refused by "+culprit.ID, 0)
 	case a.Foreign || a.Status < http.StatusMultipleChoices && !a.Sealed:
 		r.excludeOne(t.Upstream.ID)
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -272,7 +272,7 @@
 	for ctx.Err() == nil {
 		if v := n.view.Load(); v != nil && v.Rules != nil {
 			for _, s := range v.Rules.Engines() {
-				n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), func(*fleet.Upstream) bool { return false })
+				n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.Silent)
 			}
 		}
 		sleep(ctx, planPause)
