Share upstreams' reports between nodes, and let streams wait for new parts to read

Cause: 152 streams moved off one lost part within 0.1 s to the same new parts, which read 140,000 tokens before their next events, and were cut as slow meanwhile; slow upstreams were not known.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -42,9 +42,13 @@
 	strikes   int       // such signs in a row
 	refusals  int       // refusals in a row
 	alive     time.Time // of the latest sign of life
-	doubted   int       // other nodes for which it rests
-	errors    float64   // share of its latest answers that failed, decayed
-	took      float64   // mean time of a plain answer, ms, decayed
+	doubted   int       // other nodes for which it rests, those of its data centre twice
+	pace      float64   // factor on its times as it reports, or 0
+	paceAt    time.Time
+	paceOwn   bool // this node asked for the report
+	centre    string
+	errors    float64 // share of its latest answers that failed, decayed
+	took      float64 // mean time of a plain answer, ms, decayed
 }
 
 // Claim is what nodes hold on one upstream.
@@ -66,18 +70,26 @@
 	now    func() time.Time
 	random *rand.Rand
 	states map[Key]*state
-	peers  map[string]peerClaims
+	peers  map[string]heard
 	freed  chan struct{} // closed and replaced when room may have come free
 	centre string        // the node's own data centre
 	cuts   map[string]*cut
 	nodes  int
 }
 
-// peerClaims is what another node told last.
-type peerClaims struct {
-	at     time.Time
-	claims map[uint32]Claim // by the upstream's tag
-	rest   []uint32         // upstreams that broke or fell silent for it
+// News is what another node tells of upstreams, by their tags.
+type News struct {
+	Node       string
+	DataCentre string
+	Claims     map[uint32]Claim
+	Resting    []uint32 // that broke or fell silent for it
+	Paces      map[uint32]float64
+}
+
+// heard is another node's latest news.
+type heard struct {
+	News
+	at time.Time
 }
 
 // Option sets a part of a Board.
@@ -100,7 +112,7 @@
 		now:    time.Now,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		states: make(map[Key]*state),
-		peers:  make(map[string]peerClaims),
+		peers:  make(map[string]heard),
 		freed:  make(chan struct{}),
 		cuts:   make(map[string]*cut),
 		nodes:  1,
@@ -129,7 +141,7 @@
 		}
 	}
 	for _, u := range list.All() {
-		b.state(KeyOf(u))
+		b.state(KeyOf(u)).centre = u.DataCentre
 	}
 	b.wake()
 }
@@ -157,16 +169,17 @@
 
 // Times of evidence.
 const (
-	fullTime   = 100 * time.Millisecond // first rest of an upstream that refused
-	strikeTime = 400 * time.Millisecond // first rest of an upstream that broke or fell silent
-	restLimit  = 3 * time.Second        // longest rest between two trials of such an upstream
-	fullLimit  = time.Second            // the same after refusals, which may be for want of room alone
-	trialTime  = 700 * time.Millisecond // in which the one request that tries an upstream should tell of it
-	aliveTime  = time.Second            // for which an own sign of life outweighs what other nodes say
-	doubters   = 2                      // other nodes for which an upstream must rest to be left out here too
-	errorDecay = 0.2                    // weight of the latest answer in the share of failures
-	claimLife  = 2 * time.Second        // after which another node's claims no longer count
-	doublings  = 4                      // of a rest
+	fullTime   = 100 * time.Millisecond  // first rest of an upstream that refused
+	strikeTime = 400 * time.Millisecond  // first rest of an upstream that broke or fell silent
+	restLimit  = 3 * time.Second         // longest rest between two trials of such an upstream
+	fullLimit  = time.Second             // the same after refusals, which may be for want of room alone
+	trialTime  = 700 * time.Millisecond  // in which the one request that tries an upstream should tell of it
+	aliveTime  = time.Second             // for which an own sign of life outweighs what other nodes say
+	doubters   = 2                       // other nodes for which an upstream must rest to be left out here too
+	errorDecay = 0.2                     // weight of the latest answer in the share of failures
+	claimLife  = 2 * time.Second         // after which another node's claims no longer count
+	paceLife   = 2500 * time.Millisecond // after which a report no longer counts
+	doublings  = 4                       // of a rest
 )
 
 // Full notes that an upstream refused, which a dead part of a path does as well as a full one.
@@ -326,35 +339,71 @@
 	return tags
 }
 
-// PeerClaims notes what another node holds and which upstreams broke or fell silent for it.
-func (b *Board) PeerClaims(node string, claims map[uint32]Claim, resting []uint32) {
+// Hear takes in what another node tells.
+func (b *Board) Hear(n News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[node] = peerClaims{at: b.now(), claims: claims, rest: resting}
-	b.sumPeers()
-}
-
-func (b *Board) sumPeers() {
+	b.peers[n.Node] = heard{n, b.now()}
 	byTag := make(map[uint32]*state, len(b.states))
 	for _, s := range b.states {
 		s.others, s.doubted = Claim{}, 0
 		byTag[s.tag] = s
 	}
 	now := b.now()
+	for tag, pace := range n.Paces {
+		if s := byTag[tag]; s != nil && !s.paceOwn {
+			s.pace, s.paceAt = pace, now
+		}
+	}
 	for node, p := range b.peers {
 		if now.Sub(p.at) > claimLife {
 			delete(b.peers, node)
 			continue
 		}
-		for tag, c := range p.claims {
+		for tag, c := range p.Claims {
 			if s := byTag[tag]; s != nil {
 				s.others = s.others.add(c)
 			}
 		}
-		for _, tag := range p.rest {
+		for _, tag := range p.Resting {
 			if s := byTag[tag]; s != nil {
 				s.doubted++
+				if p.DataCentre == s.centre {
+					s.doubted++
+				}
 			}
 		}
 	}
 }
+
+// Reported notes the pace in an upstream's report to this node.
+func (b *Board) Reported(u *fleet.Upstream, pace float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(KeyOf(u))
+	s.pace, s.paceAt, s.paceOwn = pace, b.now(), true
+}
+
+// Paces returns the paces of upstreams that report to this node, by their tags.
+func (b *Board) Paces() map[uint32]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	m := make(map[uint32]float64)
+	for _, s := range b.states {
+		if s.paceOwn && now.Sub(s.paceAt) < paceLife {
+			m[s.tag] = s.pace
+		} else {
+			s.paceOwn = false
+		}
+	}
+	return m
+}
+
+// slowness returns the factor on an upstream's times, 1 if none is known.
+func (s *state) slowness(now time.Time) float64 {
+	if s.pace <= 1 || now.Sub(s.paceAt) > paceLife {
+		return 1
+	}
+	return s.pace
+}
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -15,6 +15,7 @@
 	Prompt     float64 // tokens to read
 	Output     float64 // tokens that it is expected to write
 	Exclude    []string
+	Patience   time.Duration // longest time to the first event that is worth a start, or 0
 }
 
 // Estimate is the predicted course of a generation on a path.
@@ -27,6 +28,9 @@
 const (
 	roomReserve  = 0.97                  // share of an upstream's room that may be reserved
 	scarcity     = 60 * time.Millisecond // cost of a part on an upstream without room left, for all layers
+	crowding     = 2 * time.Millisecond // cost of each request that would be lost with a part, for all layers
+	writingShare = 1.0                  // of the time for writing that counts: callers wait for the first event most
+	variance     = 0.1                   // random part of a cost, so that nodes that know the same choose differently
 	foreignFirst = 2 * time.Millisecond  // cost of a first part in another data centre, for the bytes between them
 )
 
@@ -45,10 +49,15 @@
 	}
 	t := &Ticket{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt}
 	t.Expected = b.estimate(n, hops)
+	if n.Patience > 0 && t.Expected.First > n.Patience {
+		return nil
+	}
 	for _, h := range hops {
 		b.hold(t, h, 1)
+		t.reads(h, 1)
 		b.state(KeyOf(h.Upstream)).try(b.now())
 	}
+	t.reading = slices.Clone(hops)
 	b.state(KeyOf(t.Upstream)).first++
 	return t
 }
@@ -58,9 +67,6 @@
 	s := b.state(KeyOf(h.Upstream))
 	s.running += sign
 	s.held = max(0, s.held+float64(sign)*t.tokens*float64(h.Layers.Len()))
-	if !t.read {
-		s.reading = max(0, s.reading+float64(sign)*t.prompt*float64(h.Layers.Len()))
-	}
 }
 
 // Bypass changes a ticket's path so that the layers of parts that failed are run by other upstreams, and reserves
@@ -104,16 +110,36 @@
 	t.follow(hops)
 }
 
+// follow moves a ticket's reservations to another path. Parts that are new on it read all tokens of before.
 func (t *Ticket) follow(hops []Hop) {
-	for _, h := range t.hops {
+	t.endReading()
+	before := t.hops
+	for _, h := range before {
 		t.board.hold(t, h, -1)
 	}
 	t.hops = hops
-	for _, h := range t.hops {
+	for _, h := range hops {
 		t.board.hold(t, h, 1)
+		if !slices.Contains(before, h) {
+			t.reads(h, 1)
+			t.reading = append(t.reading, h)
+		}
 	}
 }
 
+// reads notes that a part has the ticket's prompt before it, with a sign of 1, or has read it, with -1.
+func (t *Ticket) reads(h Hop, sign float64) {
+	s := t.board.state(KeyOf(h.Upstream))
+	s.reading = max(0, s.reading+sign*t.prompt*float64(h.Layers.Len()))
+}
+
+func (t *Ticket) endReading() {
+	for _, h := range t.reading {
+		t.reads(h, -1)
+	}
+	t.reading = nil
+}
+
 // mostParts is how many parts upstreams accept in a path.
 const mostParts = 32
 
@@ -232,6 +258,7 @@
 	writers  float64
 	reading  float64 // prompt tokens x layers before it
 	noFirst  bool    // its slots are taken
+	chance   float64 // random factor on its costs
 }
 
 func (b *Board) usable(list []*fleet.Upstream, n *Need, resting bool) []candidate {
@@ -246,6 +273,7 @@
 		if !resting && b.isOut(u, s, now) {
 			continue
 		}
+		card = b.cardOf(n.Engine, u, s)
 		total := n.Engine.Room(card, u.Layers.Len()) * roomReserve
 		usable = append(usable, candidate{
 			upstream: u, card: card, total: total,
@@ -253,11 +281,21 @@
 			writers: float64(s.running + s.others.Running),
 			reading: s.reading + s.others.Reading,
 			noFirst: s.first+s.others.First >= u.Slots,
+			chance:  1 + variance*b.random.Float64(),
 		})
 	}
 	return usable
 }
 
+// cardOf returns an upstream's card at its present pace.
+func (b *Board) cardOf(e *rules.Engine, u *fleet.Upstream, s *state) rules.Card {
+	card := e.Kinds[u.Card]
+	slow := s.slowness(b.now())
+	card.Pace *= slow
+	card.Read *= slow
+	return card
+}
+
 // cost returns the time in ms that a part adds to a generation, and whether the part has room.
 func (c *candidate) cost(n *Need, layers fleet.Range, centre string) (float64, bool) {
 	need := (n.Prompt + n.Output) * float64(layers.Len())
@@ -266,12 +304,12 @@
 	}
 	read, pass := c.times(n, layers, centre)
 	fullness := 1 - c.room/c.total // the same for all parts, so that cutting a part in two gains nothing
-	price := float64(scarcity) * fullness * fullness * float64(layers.Len()) / float64(n.Engine.Layers)
+	price := (float64(scarcity)*fullness*fullness + float64(crowding)*c.writers) * float64(layers.Len()) / float64(n.Engine.Layers)
 	if layers.From == 0 && c.upstream.DataCentre != n.DataCentre {
 		price += float64(foreignFirst)
 	}
 	passes := n.Output / float64(n.Engine.Stride)
-	return (float64(read) + passes*float64(pass) + price) / float64(time.Millisecond), true
+	return c.chance * (float64(read) + writingShare*passes*float64(pass) + price) / float64(time.Millisecond), true
 }
 
 // Units of an engine's figures.
@@ -310,7 +348,7 @@
 	for _, h := range hops {
 		s := b.state(KeyOf(h.Upstream))
 		c := candidate{
-			upstream: h.Upstream, card: n.Engine.Kinds[h.Upstream.Card],
+			upstream: h.Upstream, card: b.cardOf(n.Engine, h.Upstream, s),
 			writers: float64(s.running + s.others.Running), reading: s.reading + s.others.Reading,
 		}
 		read, pass := c.times(n, h.Layers, centre)
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -15,7 +15,7 @@
 	Expected Estimate
 	tokens   float64
 	prompt   float64
-	read     bool
+	reading  []Hop // parts that have the prompt before them
 }
 
 // Hop is one part of a path.
@@ -106,17 +106,6 @@
 	}
 }
 
-func (t *Ticket) endReading() {
-	if t.read {
-		return
-	}
-	t.read = true
-	for _, h := range t.hops {
-		s := t.board.state(KeyOf(h.Upstream))
-		s.reading = max(0, s.reading-t.prompt*float64(h.Layers.Len()))
-	}
-}
-
 // Release gives the room back.
 func (t *Ticket) Release() {
 	b := t.board
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -57,6 +57,7 @@
 
 // Constants of attempts.
 const (
+	patienceShare  = 0.75                   // of a caller's patience that a start may be predicted to take
 	waitForRoom    = 450 * time.Millisecond // longest wait for a place; later answers miss most objectives
 	wholeAnswer    = 1 << 20                // bytes of a plain answer that are held back until it is whole
 	unreachable    = 3                      // attempts that reached nobody, after which a request is refused
@@ -155,9 +156,15 @@
 		Prompt:     float64(r.q.Prompt),
 		Output:     r.expectedOutput(),
 		Exclude:    slices.Clone(r.exclude),
+		Patience:   time.Duration(patienceShare * float64(patience(r.q.Route))),
 	}
 }
 
+// patience returns how long a caller of a stream waits for its next event.
+func patience(t *rules.Route) time.Duration {
+	return max(2*time.Second, 4*t.Objective, 8*t.Pause)
+}
+
 // expectedOutput returns how many tokens the request will write: the caller's hint, within its maximum.
 func (r *run) expectedOutput() float64 {
 	q := r.q
--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -17,25 +17,27 @@
 	quietFirst   = 350 * time.Millisecond // least silence before the first event
 	quietBetween = 200 * time.Millisecond // least silence between events
 	quietMost    = 600 * time.Millisecond
-	lookAgain    = 150 * time.Millisecond  // between looks; reports lag by some hundred milliseconds
-	giveUpAfter  = 1400 * time.Millisecond // of silence, where another path is free and the caller still waits
-	reportLimit  = 250 * time.Millisecond  // after which an upstream that does not report counts as dead
-	reportAge    = 100 * time.Millisecond  // for which one report serves all that ask
+	lookAgain    = 150 * time.Millisecond // between looks; reports lag by some hundred milliseconds
+	reportLag    = 500 * time.Millisecond // by which a report may be older than a change of path
+	giveUpShare  = 0.6                    // of the caller's patience after which a slow stream goes to another path, if one is free
+	reportLimit  = 250 * time.Millisecond // after which an upstream that does not report counts as dead
+	reportAge    = 100 * time.Millisecond // for which one report serves all that ask
 	repathLimit  = 300 * time.Millisecond
 )
 
 // watch looks after one attempt's silence.
 type watch struct {
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	run     *run
-	ticket  *board.Ticket
-	mu      sync.Mutex
-	timer   *time.Timer
-	last    time.Time // of the latest event, or of the start
-	begun   bool
-	bypass  bool // the path was changed during this silence
-	stopped bool
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	run       *run
+	ticket    *board.Ticket
+	mu        sync.Mutex
+	timer     *time.Timer
+	last      time.Time // of the latest event, or of the start
+	begun     bool
+	changed   time.Time // when the path was changed last
+	isChanged bool      // during this silence
+	stopped   bool
 }
 
 func newWatch(ctx context.Context, cancel context.CancelCauseFunc, r *run, t *board.Ticket) *watch {
@@ -56,7 +58,11 @@
 func (w *watch) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.begun, w.bypass = true, false
+	w.begun = true
+	if w.isChanged {
+		w.isChanged = false
+		w.ticket.Reading()
+	}
 	w.last = time.Now()
 	w.timer.Reset(w.quiet())
 }
@@ -92,13 +98,20 @@
 		w.lost(t.Upstream, err)
 	case failed != nil:
 		w.stalled(failed)
-	case silent > giveUpAfter && r.mayTryOther() && r.hasOther(t):
+	case !w.waitsForParts() && silent > time.Duration(giveUpShare*float64(patience(r.q.Route))) && r.mayTryOther() && r.hasOther(t):
 		w.giveUp("the stream is slow")
 	default:
 		w.again()
 	}
 }
 
+// waitsForParts reports whether parts that are new on the path still read.
+func (w *watch) waitsForParts() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isChanged
+}
+
 func (w *watch) again() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -127,15 +140,15 @@
 func (w *watch) stalled(u *fleet.Upstream) {
 	r, t := w.run, w.ticket
 	rest := r.c.board.Strike(u)
-	w.mu.Lock()
-	tried := w.bypass
-	w.bypass = true
-	w.mu.Unlock()
-	if tried {
+	if time.Since(w.changed) < reportLag {
 		w.again() // the report may be older than the change of path
 		return
 	}
+	w.changed = time.Now()
 	before := board.Describe(t.Hops())
+	w.mu.Lock()
+	w.isChanged = true // new parts read all tokens, for which the caller had better wait
+	w.mu.Unlock()
 	if err := r.bypass(w.ctx, t, u); err != nil {
 		r.c.log.Info("path-kept", "request", r.q.ID, "failed", u.ID, "path", before, "cause", err.Error(), "rest-ms", rest.Milliseconds())
 		if r.mayTryOther() {
@@ -190,7 +203,21 @@
 
 var errNoWay = errors.New("no other upstream has the layers and room")
 
+// giveUp ends the attempt if the budget allows another; else it may still come to an end by itself.
 func (w *watch) giveUp(cause string) {
+	if !w.run.c.budget.Take(w.run.q.Service.Name) {
+		w.again()
+		return
+	}
+	w.mu.Lock()
+	stopped := w.stopped
+	if !stopped {
+		w.run.paid = true
+	}
+	w.mu.Unlock()
+	if stopped {
+		return
+	}
 	w.run.c.log.Info("attempt-given-up", "request", w.run.q.ID, "upstream", w.ticket.Upstream.ID, "cause", cause)
 	w.cancel(errSilent)
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -54,6 +54,7 @@
 	carrier  *carry.Carrier
 	lease    *lease.Lease
 	planner  *place.Planner
+	engines  Engines
 	mesh     *mesh.Mesh
 	started  time.Time
 	stopping atomic.Bool
@@ -77,11 +78,11 @@
 	}
 	n.settings.Store(&c)
 	n.pool = hop.NewPool(func() { n.dials.Add(1) })
-	engines := p.Engines(n.pool)
-	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, engines, n.board, n, n.budget, n.log)
+	n.engines = p.Engines(n.pool)
+	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.engines, n.board, n, n.budget, n.log)
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
-	n.planner = place.NewPlanner(engines, n.lease.Valid, n.log)
-	n.mesh = mesh.New(mesh.Config{Node: c.Node, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
+	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
+	n.mesh = mesh.New(mesh.Config{Node: c.Node, DataCentre: c.DataCentre, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
 	return n
 }
 
@@ -246,6 +247,7 @@
 	d.start(func() error { return n.plan(ctx) })
 	d.start(func() error { return n.sweep(ctx) })
 	d.start(func() error { return n.reload(ctx) })
+	d.start(func() error { return n.askUpstreams(ctx) })
 	leaseEnd := n.lease.Run(ctx)
 	d.start(func() error { return <-leaseEnd })
 	return d
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -38,18 +38,20 @@
 
 // Peer is another node as its datagrams show it.
 type Peer struct {
-	Name      string
-	Questions string // address
-	Rules     uint64
-	List      uint64
-	At        time.Time
+	Name       string
+	DataCentre string
+	Questions  string // address
+	Rules      uint64
+	List       uint64
+	At         time.Time
 }
 
 // Config says who a node is in the mesh.
 type Config struct {
-	Node      string
-	Datagrams string // IP:port
-	Questions string // IP:port
+	Node       string
+	DataCentre string
+	Datagrams  string // IP:port
+	Questions  string // IP:port
 }
 
 // Mesh is one node's part.
@@ -146,7 +148,7 @@
 		return
 	}
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
-	s.Peer = Peer{d.GetNode(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now()}
+	s.Peer = Peer{d.GetNode(), d.GetDataCentre(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now()}
 	m.mu.Unlock()
 	claims := make(map[uint32]board.Claim, len(d.GetClaims()))
 	for _, c := range d.GetClaims() {
@@ -155,7 +157,13 @@
 			Reading: float64(c.GetReading()) * thousand,
 		}
 	}
-	m.board.PeerClaims(d.GetNode(), claims, d.GetResting())
+	paces := make(map[uint32]float64, len(d.GetHealth()))
+	for _, h := range d.GetHealth() {
+		paces[h.GetUpstream()] = float64(h.GetPace()) / thousand
+	}
+	m.board.Hear(board.News{
+		Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Resting: d.GetResting(), Paces: paces,
+	})
 }
 
 // send tells the other nodes what this one holds, in turn over a period.
@@ -188,7 +196,8 @@
 	k := m.known()
 	d := &wire.Digest{
 		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence, Rules: k.Rules, List: k.List,
-		Address: m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
+		DataCentre: m.config.DataCentre,
+		Address:    m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
 	}
 	for tag, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
@@ -196,6 +205,9 @@
 			Reading: uint32(c.Reading / thousand),
 		})
 	}
+	for tag, pace := range m.board.Paces() {
+		d.Health = append(d.Health, &wire.Health{Upstream: tag, Pace: uint32(pace * thousand)})
+	}
 	return d
 }
 
@@ -218,17 +230,17 @@
 	return best, best.Name != ""
 }
 
-// Live returns how many other nodes sent a datagram lately.
-func (m *Mesh) Live() int {
+// Live returns the data centres of the other nodes that sent a datagram lately, by name.
+func (m *Mesh) Live() map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
+	live := make(map[string]string, len(m.peers))
 	for _, s := range m.peers {
 		if time.Since(s.At) <= freshTime {
-			n++
+			live[s.Name] = s.DataCentre
 		}
 	}
-	return n
+	return live
 }
 
 // Ask asks a node at an address for what is newer than the versions given.
