Price paths by the rate at which parts read between passes, and move upstreams to layers that few can carry

Cause: after a drain and a crash layers 42 to 48 were left to one l4, which reads about 31,000 tokens a second beside 100 writers, half of what was assumed (a pass reads one chunk of 512 tokens after three steps); the planner only filled empty upstreams. Paths now use that rate, holders count by it, and one upstream at a time is moved where its value gains most for each layer to load.

--- a/core/board/path.go
+++ b/core/board/path.go
@@ -28,8 +28,8 @@
 const (
 	roomReserve  = 0.97                  // share of an upstream's room that may be reserved
 	scarcity     = 60 * time.Millisecond // cost of a part on an upstream without room left, for all layers
-	crowding     = 2 * time.Millisecond // cost of each request that would be lost with a part, for all layers
-	writingShare = 1.0                  // of the time for writing that counts: callers wait for the first event most
+	crowding     = 2 * time.Millisecond  // cost of each request that would be lost with a part, for all layers
+	writingShare = 1.0                   // of the time for writing that counts: callers wait for the first event most
 	variance     = 0.1                   // random part of a cost, so that nodes that know the same choose differently
 	foreignFirst = 2 * time.Millisecond  // cost of a first part in another data centre, for the bytes between them
 )
@@ -312,28 +312,24 @@
 	return c.chance * (float64(read) + writingShare*passes*float64(pass) + price) / float64(time.Millisecond), true
 }
 
-// Units of an engine's figures.
-const (
-	perContext = 1000 // tokens
-	perPairs   = 1e6
-)
+// perPairs is the unit of an engine's Pairs.
+const perPairs = 1e6
 
 // times returns how long a part takes to read the prompt, with what waits before it, and for one pass.
 func (c *candidate) times(n *Need, layers fleet.Range, centre string) (read, pass time.Duration) {
 	e := n.Engine
 	share := float64(layers.Len()) / float64(e.Layers)
 	second := float64(time.Second)
-	waiting := c.reading / float64(e.Layers) / e.ReadPerSecond * second * c.card.Read
-	own := (n.Prompt/e.ReadPerSecond*second + float64(e.Pairs)*n.Prompt*n.Prompt/2/perPairs) * c.card.Read * share
-	context := (n.Prompt + n.Output/2) / perContext
-	writers := c.writers + 1
-	one := (float64(e.Step) + writers*(float64(e.PerWriter)+float64(e.PerContext)*context)) * c.card.Pace * share
-	crossing := 0.0
+	context := n.Prompt + n.Output/2
+	rate := e.ReadRate(c.card, layers.Len(), c.writers, context)
+	ahead := c.reading / float64(max(1, c.upstream.Layers.Len()))
+	reading := (ahead+n.Prompt)/rate*second + float64(e.Pairs)*n.Prompt*n.Prompt/2/perPairs*c.card.Read*share
+	pass = e.Pass(c.card, layers.Len(), c.writers+1, context)
 	if centre != "" && centre != c.upstream.DataCentre {
-		crossing = float64(e.Delay)
-		own += n.Prompt * e.ActivationBytes * bitsPerByte / (e.Pipe * bitsPerMegabit) * second
+		pass += time.Duration(e.Stride) * e.Delay
+		reading += float64(e.Delay) + n.Prompt*e.ActivationBytes*bitsPerByte/(e.Pipe*bitsPerMegabit)*second
 	}
-	return time.Duration(waiting + own + one + crossing), time.Duration(float64(e.Stride) * (one + crossing))
+	return time.Duration(reading) + pass, pass
 }
 
 const (
@@ -356,6 +352,5 @@
 		e.Pause += pass
 		centre = h.Upstream.DataCentre
 	}
-	e.First += e.Pause
 	return e
 }
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -31,7 +31,7 @@
 	thinCopies  = 0.05 // copies of a layer under which its gain no longer grows
 )
 
-// cover is how often each layer is held, in copies weighted by room.
+// cover is how often each layer is held, in copies weighted by what their holders can carry.
 type cover struct {
 	all    []float64
 	centre map[string][]float64
@@ -51,15 +51,27 @@
 	return s
 }
 
-// add adds a range with a sign of 1 or takes it off with -1.
-func (c *cover) add(centre string, r fleet.Range, sign float64) {
+// add adds a weight to the layers of a range, or takes it off if it is negative.
+func (c *cover) add(centre string, r fleet.Range, weight float64) {
 	own := c.of(centre)
 	for i := max(0, r.From); i < min(c.layers, r.To); i++ {
-		c.all[i] += sign
-		own[i] += sign
+		c.all[i] += weight
+		own[i] += weight
 	}
 }
 
+// value returns what the cover is worth: little for layers that few hold, above all in a data centre.
+func (c *cover) value() float64 {
+	sum := 0.0
+	for i, all := range c.all {
+		sum -= 1 / (all + thinCopies)
+		for _, own := range c.centre {
+			sum -= centreGain / (own[i] + thinCopies)
+		}
+	}
+	return sum
+}
+
 // gain returns what one more holder of a range is worth: most where few others hold its layers.
 func (c *cover) gain(centre string, r fleet.Range) float64 {
 	own := c.of(centre)
@@ -83,10 +95,7 @@
 // Plan returns moves for empty upstreams, so that each data centre holds all layers by itself where it can, and
 // then the thinnest layers are held once more.
 func Plan(e *rules.Engine, members []Member) []Move {
-	c := newCover(e.Layers)
-	for _, m := range members {
-		c.add(m.DataCentre, m.Layers, 1)
-	}
+	c := coverOf(e, members)
 	shares := sharesOf(e, members)
 	var empty []Member
 	for _, m := range members {
@@ -100,12 +109,36 @@
 	var moves []Move
 	for _, m := range empty {
 		r := c.best(m.DataCentre, width(e, m.Card, shares[m.DataCentre]))
-		c.add(m.DataCentre, r, 1)
+		c.add(m.DataCentre, r, weigh(e, m.Card, r.Len()))
 		moves = append(moves, Move{m.ID, r})
 	}
 	return moves
 }
 
+func coverOf(e *rules.Engine, members []Member) *cover {
+	c := newCover(e.Layers)
+	for _, m := range members {
+		c.add(m.DataCentre, m.Layers, weigh(e, m.Card, m.Layers.Len()))
+	}
+	return c
+}
+
+// Load under which holders are compared.
+const (
+	usualWriters = 60
+	usualRate    = 60_000 // prompt tokens a second of a holder that counts as one copy
+	leastWeight  = 0.3    // of a slow holder, which still keeps a layer within reach
+)
+
+// weigh returns how many copies a holder counts for.
+func weigh(e *rules.Engine, c rules.Card, layers int) float64 {
+	if layers == 0 {
+		return 0
+	}
+	rate := e.ReadRate(c, layers, usualWriters, e.Prompt+e.Answer/2)
+	return min(1, max(leastWeight, rate/usualRate))
+}
+
 // best returns the range of a width that gains most, the first of equals.
 func (c *cover) best(centre string, n int) fleet.Range {
 	best, most := fleet.Range{}, -1.0
--- a/core/place/plan_test.go
+++ b/core/place/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"rhubarbspread/core/rules"
 )
@@ -10,7 +11,8 @@
 // today is the engine and cards of the two sites.
 func today() *rules.Engine {
 	return &rules.Engine{
-		Layers: 80, LayerMB: 1750, TokenBytes: 918_000,
+		Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Step: 1020 * time.Microsecond, PerWriter: 7140 * time.Nanosecond,
+		PerContext: 9560 * time.Nanosecond, ReadPerSecond: 105_000, Stride: 3, Chunk: 512, Prompt: 774, Answer: 200,
 		Kinds: map[string]rules.Card{
 			"a100": {SizeMB: 72_000, Pace: 2.4, Read: 3.2},
 			"l40s": {SizeMB: 43_200, Pace: 5.6, Read: 2.7},
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 	callLimit   = 600 * time.Millisecond // a report or an order is answered within milliseconds
 	orderMemory = 2 * time.Second        // beyond its load time that an order counts as under way
 	mostAtATime = 8                      // calls to upstreams under way
+	settleTime  = 600 * time.Millisecond // without a change of upstreams before one that holds layers is moved
+	movePause   = 10 * time.Second       // between two moves of one upstream
 	failedAgain = time.Second            // after an order that failed the upstream is asked again
 )
 
@@ -27,6 +30,9 @@
 	now     func() time.Time
 	pending map[string]pending
 	told    time.Time
+	names   []string             // upstreams at the last look
+	settled time.Time            // since when they are the same
+	moved   map[string]time.Time // upstreams that hold layers and were given others
 }
 
 // pending is an order that the platform's list does not show yet.
@@ -38,7 +44,7 @@
 
 // NewPlanner returns a planner; fence returns the lease's number and whether it is held now.
 func NewPlanner(engines Engines, fence func() (uint64, bool), log logr.Logger) *Planner {
-	return &Planner{engines: engines, fence: fence, log: log, now: time.Now, pending: make(map[string]pending)}
+	return &Planner{engines: engines, fence: fence, log: log, now: time.Now, pending: make(map[string]pending), moved: make(map[string]time.Time)}
 }
 
 // Step looks at a service's upstreams once and orders what is missing. Silent reports whether an upstream is
@@ -59,6 +65,7 @@
 	}
 	p.tell(e, members)
 	moves := Plan(e, members)
+	moves = append(moves, p.mends(e, members, len(moves) > 0)...)
 	var all sync.WaitGroup
 	gate := make(chan struct{}, mostAtATime)
 	results := make(chan pendingOf, len(moves))
@@ -77,6 +84,53 @@
 	}
 }
 
+// mends returns at most one move of an upstream that holds layers already, once upstreams have stood still for a
+// while and while few such moves are under way.
+func (p *Planner) mends(e *rules.Engine, members []Member, filling bool) []Move {
+	now := p.now()
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.ID)
+	}
+	slices.Sort(names)
+	if filling || !slices.Equal(names, p.names) {
+		p.names, p.settled = names, now
+	}
+	if now.Sub(p.settled) < settleTime || len(p.mending(now)) >= mostMends {
+		return nil
+	}
+	m, ok := Mend(e, p.restless(members, now))
+	if !ok {
+		return nil
+	}
+	p.moved[m.ID] = now
+	return []Move{m}
+}
+
+// mending returns the upstreams whose move by mending is under way.
+func (p *Planner) mending(now time.Time) []string {
+	var ids []string
+	for id, at := range p.moved {
+		if _, under := p.pending[id]; under {
+			ids = append(ids, id)
+		} else if now.Sub(at) > movePause {
+			delete(p.moved, id)
+		}
+	}
+	return ids
+}
+
+// restless marks upstreams that were moved lately as not free.
+func (p *Planner) restless(members []Member, now time.Time) []Member {
+	out := slices.Clone(members)
+	for i := range out {
+		if at, ok := p.moved[out[i].ID]; ok && now.Sub(at) < movePause {
+			out[i].Free = false
+		}
+	}
+	return out
+}
+
 // tellPause is the time between two log lines on coverage.
 const tellPause = time.Second
 
@@ -101,7 +155,7 @@
 	o, ok := p.pending[u.ID]
 	switch {
 	case !ok:
-	case o.born != u.Born || p.now().After(o.until) || u.Layers == o.layers:
+	case o.born != u.Born || p.now().After(o.until) || u.Layers == o.layers && u.Layers.Len() > 0:
 		delete(p.pending, u.ID)
 	default:
 		m.Layers, m.Free = o.layers, false
@@ -113,16 +167,16 @@
 func (p *Planner) perform(ctx context.Context, e *rules.Engine, u *fleet.Upstream, m Move) pending {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	again := pending{u.Born, fleet.Range{}, p.now().Add(failedAgain)}
+	again := pending{u.Born, u.Layers, p.now().Add(failedAgain)}
 	r, err := p.engines.Report(ctx, u)
 	if err != nil {
 		p.log.Info("order-skipped", "upstream", u.ID, "cause", err.Error())
 		return again
 	}
 	load := time.Duration(float64(e.Load) * float64(m.Layers.Len()) / float64(e.Layers))
-	if r.Layers.Len() > 0 || r.Busy {
-		p.log.Info("order-skipped", "upstream", u.ID, "cause", "holds layers already", "from", r.Layers.From, "to", r.Layers.To, "busy", r.Busy)
-		return pending{u.Born, r.Layers, p.now().Add(load + orderMemory)}
+	if r.Layers != u.Layers || r.Busy {
+		p.log.Info("order-skipped", "upstream", u.ID, "cause", "its state is another than listed", "from", r.Layers.From, "to", r.Layers.To, "busy", r.Busy)
+		return pending{u.Born, r.Layers, p.now().Add(orderMemory)}
 	}
 	fence, held := p.fence()
 	if !held {
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -15,6 +15,7 @@
 	ReadPerSecond   float64       // prompt tokens read a second over all layers at factor 1
 	Pairs           time.Duration // per million pairs of a token and an earlier one
 	Stride          int           // steps of a pass, and so tokens of an event
+	Chunk           float64       // prompt tokens that a pass reads at most
 	Load            time.Duration // of all layers' weights
 	Loads           int           // loads at a time that do not slow each other
 	Link            float64       // megabits a second from an upstream
@@ -38,6 +39,29 @@
 	return min(e.Layers, int(c.SizeMB/e.LayerMB))
 }
 
+// perContext is the unit of PerContext in tokens.
+const perContext = 1000
+
+// Pass returns how long a card takes for one pass over a number of layers, with a number of requests writing at a
+// mean context in tokens.
+func (e *Engine) Pass(c Card, layers int, writers, context float64) time.Duration {
+	step := float64(e.Step) + writers*(float64(e.PerWriter)+float64(e.PerContext)*context/perContext)
+	return time.Duration(float64(e.Stride) * step * c.Pace * e.part(layers))
+}
+
+// ReadRate returns how many prompt tokens a second a card reads through a number of layers, between the passes of
+// requests that write.
+func (e *Engine) ReadRate(c Card, layers int, writers, context float64) float64 {
+	chunk := e.Chunk / e.ReadPerSecond * c.Read * e.part(layers)
+	pass := 0.0
+	if writers >= 1 {
+		pass = e.Pass(c, layers, writers, context).Seconds()
+	}
+	return e.Chunk / (chunk + pass)
+}
+
+func (e *Engine) part(layers int) float64 { return float64(layers) / float64(e.Layers) }
+
 // bytesPerMB is the unit of card sizes.
 const bytesPerMB = 1e6
 
