--- a/core/board/path.go
+++ b/core/board/path.go
@@ -31,6 +31,7 @@
 	crowding     = 2 * time.Millisecond  // cost of each request that would be lost with a part, for all layers
 	writingShare = 1.0                   // of the time for writing that counts: callers wait for the first event most
 	variance     = 0.1                   // random part of a cost, so that nodes that know the same choose differently
+	crossing     = 30 * time.Millisecond // cost of a path's step to another data centre, which a cut would break
 	foreignFirst = 2 * time.Millisecond  // cost of a first part in another data centre, for the bytes between them
 )
 
@@ -308,6 +309,9 @@
 	if layers.From == 0 && c.upstream.DataCentre != n.DataCentre {
 		price += float64(foreignFirst)
 	}
+	if centre != "" && centre != c.upstream.DataCentre {
+		price += float64(crossing)
+	}
 	passes := n.Output / float64(n.Engine.Stride)
 	return c.chance * (float64(read) + writingShare*passes*float64(pass) + price) / float64(time.Millisecond), true
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -13,6 +13,7 @@
 const (
 	stopPart  = 0.6  // of the term after the sending of the last renewal that a holder may still act
 	renewPart = 0.2  // of the term between renewals, and between a contender's looks
+	calmLooks = 10   // looks of which a contender makes one while another holder is known to be at work
 	callPart  = 0.15 // of the term that one call of the table may take
 )
 
@@ -30,6 +31,7 @@
 	key    string
 	holder string
 	term   time.Duration
+	calm   func() bool // another holder is known to be at work
 
 	mu      sync.Mutex
 	number  uint64    // of this holder's lease, or zero
@@ -42,9 +44,13 @@
 
 // New returns a contender for a lease; no two contenders, and no two lives of one, may share a holder's name.
 func New(table store.Table, name, holder string, term time.Duration) *Lease {
-	return &Lease{table: table, key: "lease/" + name, holder: holder, term: term}
+	return &Lease{table: table, key: "lease/" + name, holder: holder, term: term, calm: func() bool { return false }}
 }
 
+// SetCalm sets what tells that another holder is known to be at work, so that this contender may look rarely. It
+// changes when a contender looks, never when it may take over.
+func (l *Lease) SetCalm(f func() bool) { l.calm = f }
+
 // Term returns the lease's term.
 func (l *Lease) Term() time.Duration { return l.term }
 
@@ -73,9 +79,7 @@
 	go func() {
 		for {
 			l.Step(ctx)
-			select {
-			case <-time.After(time.Duration(float64(l.term) * renewPart)):
-			case <-ctx.Done():
+			if !l.rest(ctx) {
 				ended <- nil
 				return
 			}
@@ -84,6 +88,22 @@
 	return ended
 }
 
+// rest waits until the next look and reports whether there is one.
+func (l *Lease) rest(ctx context.Context) bool {
+	pause := time.Duration(float64(l.term) * renewPart)
+	for range calmLooks {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return false
+		}
+		if _, held := l.Valid(); held || !l.calm() {
+			return true
+		}
+	}
+	return true
+}
+
 // Step makes one look at the row, and renews the lease or takes it over where it may.
 func (l *Lease) Step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(l.term)*callPart))
--- a/core/place/mend.go
+++ b/core/place/mend.go
@@ -7,7 +7,7 @@
 
 // Constants of mending.
 const (
-	mendGain  = 0.25 // value that a move must gain for each layer that it loads
+	mendGain  = 1.5 // value that a move must gain for each layer that it loads
 	mostMends = 2    // moves of upstreams that hold layers already, under way at a time
 	stretch   = 0.7  // of a card's memory that layers may take after a move
 )
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -25,7 +25,7 @@
 
 // Weights of a plan.
 const (
-	weightShare = 0.52 // of a card's memory for layers where coverage leaves the choice; the rest holds requests
+	weightShare = 0.66 // of a card's memory for layers where coverage leaves the choice; the rest holds requests
 	mostShare   = 0.9  // the same where a data centre could not hold the model otherwise
 	centreGain  = 2.0  // a layer held in the own data centre against one held anywhere
 	thinCopies  = 0.05 // copies of a layer under which its gain no longer grows
--- a/io/entry/health.go
+++ b/io/entry/health.go
@@ -13,8 +13,8 @@
 
 // Times of reports.
 const (
-	reportPause = 800 * time.Millisecond // between reports of one upstream, of which each is priced
-	reportLimit = 300 * time.Millisecond // a report comes within milliseconds from an upstream that lives
+	reportPause = 1500 * time.Millisecond // between reports of one upstream, of which each is priced
+	reportLimit = 300 * time.Millisecond  // a report comes within milliseconds from an upstream that lives
 )
 
 // askUpstreams asks this node's share of the layered upstreams for their reports. The other nodes learn of them by
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -83,6 +83,7 @@
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
 	n.mesh = mesh.New(mesh.Config{Node: c.Node, DataCentre: c.DataCentre, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
+	n.lease.SetCalm(n.mesh.IsPlanned)
 	return n
 }
 
@@ -92,7 +93,8 @@
 	if v == nil {
 		return mesh.Known{}
 	}
-	k := mesh.Known{List: v.List.Version(), Raw: v.Raw, Items: v.Items}
+	_, plans := n.lease.Valid()
+	k := mesh.Known{List: v.List.Version(), Raw: v.Raw, Items: v.Items, Plans: plans}
 	if v.Rules != nil {
 		k.Rules = v.Rules.Version()
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -34,6 +34,7 @@
 	List  uint64 // version of the store that the list of upstreams shows
 	Raw   []byte // the configuration
 	Items []store.Item
+	Plans bool // it holds the lease
 }
 
 // Peer is another node as its datagrams show it.
@@ -44,6 +45,7 @@
 	Rules      uint64
 	List       uint64
 	At         time.Time
+	Plans      bool // it holds the lease
 }
 
 // Config says who a node is in the mesh.
@@ -148,7 +150,7 @@
 		return
 	}
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
-	s.Peer = Peer{d.GetNode(), d.GetDataCentre(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now()}
+	s.Peer = Peer{d.GetNode(), d.GetDataCentre(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now(), d.GetPlans()}
 	m.mu.Unlock()
 	claims := make(map[uint32]board.Claim, len(d.GetClaims()))
 	for _, c := range d.GetClaims() {
@@ -196,8 +198,8 @@
 	k := m.known()
 	d := &wire.Digest{
 		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence, Rules: k.Rules, List: k.List,
-		DataCentre: m.config.DataCentre,
-		Address:    m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
+		DataCentre: m.config.DataCentre, Plans: k.Plans,
+		Address: m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
 	}
 	for tag, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
@@ -243,6 +245,21 @@
 	return live
 }
 
+// planFresh is how long after its last datagram a node that holds the lease is thought to be at work.
+const planFresh = time.Second
+
+// IsPlanned reports whether another node that holds the lease is at work.
+func (m *Mesh) IsPlanned() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.peers {
+		if s.Plans && time.Since(s.At) <= planFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // Ask asks a node at an address for what is newer than the versions given.
 func (m *Mesh) Ask(ctx context.Context, address string, rules, list uint64) (Known, error) {
 	ctx, cancel := context.WithTimeout(ctx, questionTime)
