--- a/core/place/mend.go
+++ b/core/place/mend.go
@@ -8,8 +8,8 @@
 // Constants of mending.
 const (
 	mendGain  = 1.5 // value that a move must gain for each layer that it loads
-	mostMends = 2    // moves of upstreams that hold layers already, under way at a time
-	stretch   = 0.7  // of a card's memory that layers may take after a move
+	mostMends = 2   // moves of upstreams that hold layers already, under way at a time
+	stretch   = 0.7 // of a card's memory that layers may take after a move
 )
 
 // Mend returns the move of an upstream that holds layers already that gains most for each layer to load, if any
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -56,6 +56,9 @@
 func (n *Node) lost(t store.Topic, err error) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
+	if t == store.Upstreams {
+		n.outage.Lost(time.Now())
+	}
 	if !n.storeLost[t] {
 		n.storeLost[t] = true
 		n.log.Info("store-lost", "topic", t.String(), "cause", err.Error())
@@ -67,9 +70,11 @@
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
 	n.storeAt[t] = time.Now()
+	if t == store.Upstreams {
+		n.outage.Back(time.Now())
+	}
 	if n.storeLost[t] {
 		n.storeLost[t] = false
-		n.storeBack = time.Now()
 		n.log.Info("store-regained", "topic", t.String())
 	}
 }
@@ -78,10 +83,7 @@
 func (n *Node) lapsesUntil() time.Time {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	if n.storeLost[store.Upstreams] {
-		return time.Now().Add(lapseGrace) // another node told, which may itself be back since a moment
-	}
-	return n.storeBack.Add(lapseGrace)
+	return n.outage.Until(time.Now())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -194,10 +193,3 @@
 	s.w.WriteHeader(r.Status)
 	_, _ = io.WriteString(s.w, r.Cause+"\n")
 }
-
-// Done ends requests under way; it is part of the stop.
-func waitIdle(ctx context.Context, idle func() bool) {
-	for !idle() && ctx.Err() == nil {
-		sleep(ctx, stopCheck)
-	}
-}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -28,17 +28,15 @@
 
 // Constants of a node's life.
 const (
-	stopCheck     = 50 * time.Millisecond
-	balancerTime  = 3200 * time.Millisecond // two misses of a question a second, and the way there
-	stopAccepting = 0.75                    // of the grace after which no new connection is taken
-	stopMargin    = 400 * time.Millisecond  // before the grace ends
-	headerTime    = 10 * time.Second        // in which a caller's headers must be in
-	memoryShare   = 0.6                     // of the VM's memory at which the collector works harder
-	leaseTerm     = 4 * time.Second
-	planPause     = 300 * time.Millisecond
-	firstPlan     = 6500 * time.Millisecond // longest wait after the start for all upstreams to have registered
-	sweepPause    = time.Second
-	leaseName     = "placement"
+	balancerTime = 2700 * time.Millisecond // two misses of a question a second, and the way there
+	stopMargin   = 400 * time.Millisecond  // before the grace ends
+	headerTime   = 10 * time.Second        // in which a caller's headers must be in
+	memoryShare  = 0.6                     // of the VM's memory at which the collector works harder
+	leaseTerm    = 4 * time.Second
+	planPause    = 300 * time.Millisecond
+	firstPlan    = 6500 * time.Millisecond // longest wait after the start for all upstreams to have registered
+	sweepPause   = time.Second
+	leaseName    = "placement"
 )
 
 // Node is one running node.
@@ -65,7 +63,7 @@
 	storeMu   sync.Mutex
 	storeLost map[store.Topic]bool
 	storeAt   map[store.Topic]time.Time
-	storeBack time.Time
+	outage    *fleet.Outage
 }
 
 // New returns a node that is not running yet.
@@ -75,6 +73,7 @@
 		board:     board.New(board.WithDataCentre(c.DataCentre)),
 		budget:    retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeLost: make(map[store.Topic]bool), storeAt: make(map[store.Topic]time.Time),
+		outage: fleet.NewOutage(c.Heartbeat, lapseGrace),
 	}
 	n.settings.Store(&c)
 	n.pool = hop.NewPool(func() { n.dials.Add(1) })
@@ -187,9 +186,8 @@
 	grace := n.settings.Load().Grace
 	n.stopping.Store(true)
 	n.log.Info("stop", "active", n.active.Load(), "connections", n.conns.Load())
-	notice, cancel := context.WithTimeout(context.Background(), time.Duration(stopAccepting*float64(grace)))
-	defer cancel()
-	waitIdle(notice, func() bool { return time.Since(began) > balancerTime && n.conns.Load() == 0 })
+	// Until then the balancer sends new connections, and a request that is taken has time to end.
+	time.Sleep(min(balancerTime, grace/2))
 	last, cancelLast := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
 	defer cancelLast()
 	if err := door.Shutdown(last); err != nil {
