--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -29,13 +29,14 @@
 	board     *board.Board
 	world     World
 	budget    Spender
+	meter     Meter
 	log       logr.Logger
 	doctor    doctor
 }
 
 // New returns a carrier.
-func New(t Transport, e Engines, b *board.Board, w World, budget Spender, log logr.Logger) *Carrier {
-	return &Carrier{transport: t, engines: e, board: b, world: w, budget: budget, log: log, doctor: doctor{engines: e}}
+func New(t Transport, e Engines, b *board.Board, w World, budget Spender, m Meter, log logr.Logger) *Carrier {
+	return &Carrier{transport: t, engines: e, board: b, world: w, budget: budget, meter: m, log: log, doctor: doctor{engines: e}}
 }
 
 // Refusal is the final answer of a request that got none from an upstream.
@@ -116,13 +117,33 @@
 	if err != nil {
 		outcome = err.Error()
 	}
+	r.c.meter.Count("requests-" + endOf(err))
+	r.c.meter.Observe("request-us", time.Since(r.started))
 	r.c.log.Info("request-end", "request", r.q.ID, "route", r.q.Route.Name, "team", r.q.Team.Name, "outcome", outcome,
 		"attempts", r.account.Attempts(), "run-state", r.account.State(), "ms", time.Since(r.started).Milliseconds())
 	return err
 }
 
+// endOf names how a request ended, for counters.
+func endOf(err error) string {
+	var refusal *Refusal
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, ErrGone):
+		return "caller-gone"
+	case errors.Is(err, ErrBroken):
+		return "broken-off"
+	case errors.As(err, &refusal) && refusal.Status == http.StatusServiceUnavailable:
+		return "refused-not-run"
+	}
+	return "failed-may-have-run"
+}
+
 // reserve waits until an upstream or a path has room for the request.
 func (r *run) reserve(ctx context.Context) (*board.Ticket, error) {
+	began := time.Now()
+	defer func() { r.c.meter.Observe("wait-for-room-us", time.Since(began)) }()
 	until := time.NewTimer(waitForRoom)
 	defer until.Stop()
 	for {
@@ -182,6 +203,7 @@
 func (r *run) attempt(ctx context.Context, t *board.Ticket) reply.Outcome {
 	began := time.Now()
 	outcome := r.send(ctx, t)
+	r.c.meter.Count("attempts-" + kindOf(outcome))
 	if _, ok := outcome.(reply.Done); !ok {
 		r.c.log.Info("attempt-failed", "request", r.q.ID, "upstream", t.Upstream.ID, "path", board.Describe(t.Hops()),
 			"outcome", reply.Reason(outcome), "may-have-run", reply.Ran(outcome), "last-event", r.last,
@@ -191,6 +213,21 @@
 	return outcome
 }
 
+// kindOf names an outcome for counters.
+func kindOf(o reply.Outcome) string {
+	switch o.(type) {
+	case reply.Done:
+		return "done"
+	case reply.NotSent:
+		return "not-sent"
+	case reply.Refused:
+		return "refused"
+	case reply.Unknown:
+		return "unknown"
+	}
+	panic(fmt.Sprintf("carry: outcome %T", o))
+}
+
 func (r *run) send(ctx context.Context, t *board.Ticket) reply.Outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- /dev/null
+++ b/core/carry/carry_test.go
@@ -0,0 +1,428 @@
+package carry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rhubarbspread/core/board"
+	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/place"
+	"rhubarbspread/core/rules"
+
+	"pgregory.net/rapid"
+)
+
+// TestPlainOutcomes plays one answer after the other to requests of each kind.
+func TestPlainOutcomes(t *testing.T) {
+	reset := NewSendError(true, errors.New("connection reset"))
+	refusedDial := NewSendError(false, errors.New("connection refused"))
+	sealed500 := func() *Answer {
+		return &Answer{Verdict: Verdict{Ours: true, Sealed: true}, Status: 500, Body: plainBody("bad")}
+	}
+	tests := []struct {
+		name    string
+		kind    rules.Kind
+		budget  int
+		answers []any // *Answer, or error
+		status  int   // of the answer or of the refusal
+		sends   int
+		returns bool // the caller is told when to come back
+	}{
+		{"answered", rules.NonIdempotent, 9, []any{ok("1", plainBody("yes"))}, 200, 1, false},
+		{"reset after sending is never sent again", rules.NonIdempotent, 9, []any{reset}, 502, 1, false},
+		{"reset after sending is repeated if idempotent", rules.Idempotent, 9, []any{reset, ok("2", plainBody("yes"))}, 200, 2, false},
+		{"nobody reached is tried elsewhere", rules.NonIdempotent, 9, []any{refusedDial, ok("2", plainBody("yes"))}, 200, 2, false},
+		{"nobody reached at all", rules.NonIdempotent, 9, []any{refusedDial, refusedDial, refusedDial}, 503, 3, true},
+		{"refused as not run is sent once more", rules.NonIdempotent, 9, []any{notRun(""), ok("2", plainBody("yes"))}, 200, 2, false},
+		{"refused twice", rules.NonIdempotent, 9, []any{notRun(""), notRun("")}, 503, 2, true},
+		{"refused, then reset: may have run", rules.NonIdempotent, 9, []any{notRun(""), reset}, 502, 2, false},
+		{"the upstream's failure is passed on", rules.NonIdempotent, 9, []any{sealed500()}, 500, 1, false},
+		{"the upstream's failure is repeated if idempotent", rules.Idempotent, 9, []any{sealed500(), ok("2", plainBody("yes"))}, 200, 2, false},
+		{"the last failure is passed on", rules.Idempotent, 9, []any{sealed500(), sealed500()}, 500, 2, false},
+		{"no budget: the failure is passed on", rules.Idempotent, 0, []any{sealed500()}, 500, 1, false},
+		{"no budget after a refusal", rules.Idempotent, 0, []any{notRun("")}, 503, 1, true},
+		{"no budget after a reset", rules.Idempotent, 0, []any{reset}, 502, 1, false},
+		{
+			"success without a seal is none", rules.NonIdempotent, 9,
+			[]any{&Answer{Verdict: Verdict{Ours: true}, Status: 200, Body: plainBody("garbage")}}, 502, 1, false,
+		},
+		{
+			"another request's answer", rules.Idempotent, 9,
+			[]any{&Answer{Verdict: Verdict{Foreign: true, Sealed: true}, Status: 200, Body: plainBody("theirs")}, ok("2", plainBody("yes"))}, 200, 2, false,
+		},
+		{
+			"an answer that breaks off is repeated if idempotent", rules.Idempotent, 9,
+			[]any{ok("1", &script{steps: []piece{{text: "ye"}, {err: io.ErrUnexpectedEOF}}}), ok("2", plainBody("yes"))}, 200, 2, false,
+		},
+		{
+			"an answer that breaks off", rules.NonIdempotent, 9,
+			[]any{ok("1", &script{steps: []piece{{text: "ye"}, {err: io.ErrUnexpectedEOF}}})}, 502, 1, false,
+		},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{list: plainUpstreams(3), repeats: tc.budget}
+				w.answer = func(_ *Send, n int) (*Answer, error) {
+					if n > len(tc.answers) {
+						t.Fatalf("a %dth attempt", n)
+					}
+					if a, ok := tc.answers[n-1].(*Answer); ok {
+						return a, nil
+					}
+					return nil, tc.answers[n-1].(error)
+				}
+				var c caller
+				err := w.carrier().Run(t.Context(), request(route(tc.kind), nil), &c)
+				var refusal *Refusal
+				status := c.status
+				if errors.As(err, &refusal) {
+					status = refusal.Status
+					if got := refusal.RetryAfter > 0; got != tc.returns {
+						t.Errorf("told when to come back: %v, want %v", got, tc.returns)
+					}
+				} else if err != nil {
+					t.Fatal(err)
+				}
+				if status != tc.status || len(w.sends) != tc.sends {
+					t.Errorf("status %d after %d attempts (%v), want %d after %d", status, len(w.sends), err, tc.status, tc.sends)
+				}
+				if status == http.StatusOK && c.body.String() != "yes" {
+					t.Errorf("body %q", c.body.String())
+				}
+			})
+		})
+	}
+}
+
+func TestSlowIdempotentCallGoesElsewhereAtItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: plainUpstreams(2), repeats: 9}
+		w.answer = func(_ *Send, n int) (*Answer, error) {
+			if n == 1 {
+				return ok("1", &script{steps: []piece{{pause: time.Hour, text: "late"}}}), nil
+			}
+			return ok("2", plainBody("yes")), nil
+		}
+		var c caller
+		began := time.Now()
+		if err := w.carrier().Run(t.Context(), request(route(rules.Idempotent), nil), &c); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took != 500*time.Millisecond {
+			t.Errorf("the answer came after %v, want the objective of 500 ms", took)
+		}
+	})
+}
+
+func TestWaitsForRoomAndThenRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: nil, repeats: 9}
+		began := time.Now()
+		err := w.carrier().Run(t.Context(), request(route(rules.NonIdempotent), nil), &caller{})
+		var refusal *Refusal
+		if !errors.As(err, &refusal) || refusal.Status != http.StatusServiceUnavailable || refusal.RetryAfter <= 0 {
+			t.Fatalf("%v, want a refusal that says when to come back", err)
+		}
+		if took := time.Since(began); took > waitForRoom {
+			t.Errorf("refused after %v", took)
+		}
+	})
+}
+
+func TestCallerGoneEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 9}
+		w.answer = func(*Send, int) (*Answer, error) {
+			return ok("1", &script{steps: eventsFrom(0, 1000, 50*time.Millisecond)}), nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		began := time.Now()
+		err := w.carrier().Run(ctx, request(route(rules.Streaming), model()), &caller{})
+		if !errors.Is(err, ErrGone) || time.Since(began) != time.Second || len(w.sends) != 1 {
+			t.Errorf("%v after %v and %d attempts, want %v at once", err, time.Since(began), len(w.sends), ErrGone)
+		}
+	})
+}
+
+func TestTimeoutEndsARequestInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: plainUpstreams(2), repeats: 9}
+		w.answer = func(*Send, int) (*Answer, error) {
+			return ok("1", &script{steps: []piece{{pause: time.Hour, text: "late"}}}), nil
+		}
+		q := request(route(rules.NonIdempotent), nil)
+		q.Until = time.Now().Add(400 * time.Millisecond)
+		began := time.Now()
+		err := w.carrier().Run(t.Context(), q, &caller{})
+		var refusal *Refusal
+		if !errors.As(err, &refusal) || refusal.Status != http.StatusGatewayTimeout || time.Since(began) != 400*time.Millisecond {
+			t.Errorf("%v after %v, want 504 at the time-out", err, time.Since(began))
+		}
+	})
+}
+
+// TestStreamGoesOnElsewhere: a stream that breaks off, also inside of an event, goes on behind the last whole event,
+// with the first answer's headers, each event once.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 9}
+		w.answer = func(s *Send, n int) (*Answer, error) {
+			if n == 1 {
+				steps := append(eventsFrom(0, 4, 20*time.Millisecond), piece{text: "id: 5\nda"}, piece{err: io.ErrUnexpectedEOF})
+				return ok("first", &script{steps: steps}), nil
+			}
+			if s.LastEvent != "4" {
+				t.Errorf("the stream goes on behind %q, want 4", s.LastEvent)
+			}
+			// It repeats an event that the caller has.
+			return ok("second", &script{steps: eventsFrom(4, 9, 20*time.Millisecond)}), nil
+		}
+		var c caller
+		if err := w.carrier().Run(t.Context(), request(route(rules.Streaming), model()), &c); err != nil {
+			t.Fatal(err)
+		}
+		checkEvents(t, c.body.String(), 0, 9)
+		if got := c.header.Get("Seal"); got != "first" {
+			t.Errorf("headers of the %s answer", got)
+		}
+	})
+}
+
+func TestGapIsNeverPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 9}
+		w.answer = func(_ *Send, n int) (*Answer, error) {
+			if n == 1 {
+				return ok("1", &script{steps: append(eventsFrom(0, 2, 0), eventsFrom(4, 6, 0)...)}), nil
+			}
+			return ok("2", &script{steps: eventsFrom(3, 6, 0)}), nil
+		}
+		var c caller
+		if err := w.carrier().Run(t.Context(), request(route(rules.Streaming), model()), &c); err != nil {
+			t.Fatal(err)
+		}
+		checkEvents(t, c.body.String(), 0, 6)
+	})
+}
+
+func TestStreamThatMayNotBeResumedIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 9}
+		w.answer = func(*Send, int) (*Answer, error) {
+			return ok("1", &script{steps: append(eventsFrom(0, 2, 0), piece{err: io.ErrUnexpectedEOF})}), nil
+		}
+		r := route(rules.Streaming)
+		r.Resumable = false
+		err := w.carrier().Run(t.Context(), request(r, model()), &caller{})
+		if !errors.Is(err, ErrBroken) || len(w.sends) != 1 {
+			t.Errorf("%v after %d attempts, want a broken stream after one", err, len(w.sends))
+		}
+	})
+}
+
+// silentAfter is a stream that falls silent and then goes on once it was led past the part that failed.
+func silentAfter(n int, changed <-chan struct{}) *script {
+	return &script{steps: append(eventsFrom(0, n, 20*time.Millisecond), piece{pause: time.Hour, text: eventText(n + 1)})}
+}
+
+// TestStalledPartIsBypassed: the first part reports which one it waits for, and the request is led past it over the
+// same connection, well before the caller leaves after two seconds.
+func TestStalledPartIsBypassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 9}
+		changed := make(chan struct{})
+		var stalled *fleet.Upstream
+		w.answer = func(s *Send, _ int) (*Answer, error) {
+			stalled = s.Hops[1].Upstream
+			return ok("1", &waiting{script: script{steps: eventsFrom(0, 5, 20*time.Millisecond)}, changed: changed, then: eventsFrom(6, 9, 20*time.Millisecond)}), nil
+		}
+		w.report = func(*fleet.Upstream) (place.Report, error) {
+			return place.Report{Stalled: map[string]string{"id-1": stalled.Address}}, nil
+		}
+		w.repath = func(hops []board.Hop) (string, error) {
+			if hops[0].Upstream != w.sends[0].Upstream || hops[1].Upstream == stalled {
+				t.Errorf("led along %s", board.Describe(hops))
+			}
+			close(changed)
+			return "", nil
+		}
+		var c caller
+		if err := w.carrier().Run(t.Context(), request(route(rules.Streaming), model()), &c); err != nil {
+			t.Fatal(err)
+		}
+		checkEvents(t, c.body.String(), 0, 9)
+		if len(w.sends) != 1 {
+			t.Errorf("%d attempts, want one", len(w.sends))
+		}
+		for i := 1; i < len(c.at); i++ {
+			if pause := c.at[i].Sub(c.at[i-1]); pause > time.Second {
+				t.Errorf("a pause of %v", pause)
+			}
+		}
+	})
+}
+
+// waiting is a script that goes on when a channel is closed.
+type waiting struct {
+	script
+	changed <-chan struct{}
+	then    []piece
+}
+
+func (w *waiting) Read(p []byte) (int, error) {
+	if len(w.left) == 0 && len(w.steps) == 0 && w.then != nil {
+		select {
+		case <-w.changed:
+			w.steps, w.then = w.then, nil
+		case <-time.After(10 * time.Second):
+			return 0, errors.New("the part gave up")
+		}
+	}
+	if w.ctx == nil {
+		w.ctx = context.Background()
+	}
+	return w.script.Read(p)
+}
+
+// TestSilentFirstPartIsLeft: an upstream that does not even report is dead, and the stream goes on elsewhere before
+// the caller leaves.
+func TestSilentFirstPartIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 9}
+		w.answer = func(s *Send, n int) (*Answer, error) {
+			if n == 1 {
+				return ok("1", silentAfter(3, nil)), nil
+			}
+			return ok("2", &script{steps: eventsFrom(4, 8, 20*time.Millisecond)}), nil
+		}
+		w.report = func(*fleet.Upstream) (place.Report, error) { return place.Report{}, errors.New("no answer") }
+		var c caller
+		began := time.Now()
+		if err := w.carrier().Run(t.Context(), request(route(rules.Streaming), model()), &c); err != nil {
+			t.Fatal(err)
+		}
+		checkEvents(t, c.body.String(), 0, 8)
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("it took %v", took)
+		}
+		if w.sends[0].Upstream == w.sends[1].Upstream {
+			t.Error("it was sent to the dead upstream again")
+		}
+	})
+}
+
+// TestSlowStreamIsNotCutWithoutBudget: a slow stream is worth more than none. Cutting it without a place to go to
+// ended 1,429 requests with 502 in one day.
+func TestSlowStreamIsNotCutWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 0}
+		w.answer = func(*Send, int) (*Answer, error) {
+			return ok("1", &script{steps: eventsFrom(0, 4, 1700*time.Millisecond)}), nil
+		}
+		var c caller
+		if err := w.carrier().Run(t.Context(), request(route(rules.Streaming), model()), &c); err != nil {
+			t.Fatal(err)
+		}
+		checkEvents(t, c.body.String(), 0, 4)
+	})
+}
+
+// TestNothingRunsTwice draws what upstreams do, whatever the order: a call that may not be repeated reaches an
+// upstream again only after a refusal, and a refusal that promises that nothing ran is true.
+func TestNothingRunsTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plans := rapid.SliceOfN(rapid.IntRange(0, 5), 8, 8).Draw(rt, "answers")
+		synctest.Test(t, func(t *testing.T) {
+			w := &world{list: plainUpstreams(3), repeats: rapid.IntRange(0, 5).Draw(rt, "budget")}
+			runs := 0
+			w.answer = func(_ *Send, n int) (*Answer, error) {
+				switch plans[n%len(plans)] {
+				case 0:
+					runs++
+					return ok("1", plainBody("yes")), nil
+				case 1:
+					return notRun(""), nil
+				case 2:
+					runs++
+					return nil, NewSendError(true, errors.New("reset"))
+				case 3:
+					return nil, NewSendError(false, errors.New("refused"))
+				case 4:
+					runs++
+					return ok("1", &script{steps: []piece{{text: "y"}, {err: io.ErrUnexpectedEOF}}}), nil
+				default:
+					runs++
+					return &Answer{Verdict: Verdict{Foreign: true}, Status: 200, Body: plainBody("theirs")}, nil
+				}
+			}
+			err := w.carrier().Run(t.Context(), request(route(rules.NonIdempotent), nil), &caller{})
+			if runs > 1 {
+				rt.Fatalf("it ran %d times", runs)
+			}
+			var refusal *Refusal
+			if errors.As(err, &refusal) && refusal.Status == http.StatusServiceUnavailable && runs > 0 {
+				rt.Fatalf("%v, though it ran", err)
+			}
+		})
+	})
+}
+
+func TestReadEvent(t *testing.T) {
+	tests := []struct {
+		name, in string
+		id       int64
+		raw      string
+		err      error
+	}{
+		{"one", "id: 7\ndata: x\n\n", 7, "id: 7\ndata: x\n\n", nil},
+		{"carriage returns", "id:7\r\ndata: x\r\n\r\n", 7, "id:7\r\ndata: x\r\n\r\n", nil},
+		{"no id", "data: x\n\n", noID, "data: x\n\n", nil},
+		{"an id that is none", "id: x\ndata: x\n\n", noID, "id: x\ndata: x\n\n", nil},
+		{"inside of an event", "id: 7\ndat", 0, "", io.ErrUnexpectedEOF},
+		{"nothing", "", 0, "", io.EOF},
+		{"a long line", "data: " + strings.Repeat("x", 9000) + "\n\n", noID, "data: " + strings.Repeat("x", 9000) + "\n\n", nil},
+		{"too long", "data: " + strings.Repeat("x", mostEvent) + "\n\n", 0, "", errEventSize},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			e, err := readEvent(bufio.NewReaderSize(strings.NewReader(tc.in), 64))
+			if !errors.Is(err, tc.err) {
+				t.Fatalf("error %v, want %v", err, tc.err)
+			}
+			if err == nil && (e.id != tc.id || string(e.raw) != tc.raw) {
+				t.Errorf("event %d of %d bytes, want %d of %d", e.id, len(e.raw), tc.id, len(tc.raw))
+			}
+		})
+	}
+}
+
+func FuzzReadEvent(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n"))
+	f.Add([]byte("\n\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := bufio.NewReaderSize(strings.NewReader(string(in)), 32)
+		var out []byte
+		for {
+			e, err := readEvent(r)
+			if err != nil {
+				break
+			}
+			if len(e.raw) == 0 {
+				t.Fatal("an event of no bytes")
+			}
+			out = append(out, e.raw...)
+		}
+		if !strings.HasPrefix(string(in), string(out)) {
+			t.Fatalf("%q came out of %q", out, in)
+		}
+	})
+}
--- a/core/carry/stream.go
+++ b/core/carry/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/reply"
@@ -76,6 +77,7 @@
 		}
 		if first {
 			first = false
+			r.c.meter.Observe("first-event-us", time.Since(r.started))
 			t.Reading()
 			r.c.board.Alive(t.Upstream, false, 0)
 		}
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -116,6 +116,12 @@
 	Repath(ctx context.Context, u *fleet.Upstream, id string, hops []board.Hop) (string, error)
 }
 
+// Meter counts what operators look at. Names of times end in their unit.
+type Meter interface {
+	Count(name string)
+	Observe(name string, d time.Duration)
+}
+
 // World is what a carrier sees of the fleet at the time of an attempt.
 type World interface {
 	// Upstreams returns a service's upstreams.
--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -159,6 +159,7 @@
 		w.again()
 		return
 	}
+	r.c.meter.Count("paths-changed")
 	r.c.log.Info("path-changed", "request", r.q.ID, "failed", u.ID, "before", before, "after", board.Describe(t.Hops()), "rest-ms", rest.Milliseconds())
 	w.again()
 }
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -139,8 +139,18 @@
 	return min(1, max(leastWeight, rate/usualRate))
 }
 
-// best returns the range of a width that gains most, the first of equals.
+// best returns the range of a width for an upstream of a data centre: from one end of the first gap there, so that
+// ranges leave no odd pieces between them, else the range that gains most, the first of equals.
 func (c *cover) best(centre string, n int) fleet.Range {
+	gap := c.gap(centre)
+	if gap.Len() > 0 {
+		left := min(gap.From, c.layers-n)
+		right := max(0, gap.To-n)
+		if gap.Len() >= n || c.gain(centre, fleet.Range{From: left, To: left + n}) >= c.gain(centre, fleet.Range{From: right, To: right + n}) {
+			return fleet.Range{From: left, To: left + n}
+		}
+		return fleet.Range{From: right, To: right + n}
+	}
 	best, most := fleet.Range{}, -1.0
 	for s := 0; s+n <= c.layers; s++ {
 		r := fleet.Range{From: s, To: s + n}
@@ -151,6 +161,22 @@
 	return best
 }
 
+// gap returns the first layers that a data centre does not hold, empty if it holds all.
+func (c *cover) gap(centre string) fleet.Range {
+	own := c.of(centre)
+	for i, copies := range own {
+		if copies > 0 {
+			continue
+		}
+		end := i
+		for end < c.layers && own[end] == 0 {
+			end++
+		}
+		return fleet.Range{From: i, To: end}
+	}
+	return fleet.Range{}
+}
+
 // sharesOf returns each data centre's share of memory for layers: more than usual where its cards could not
 // hold the model otherwise.
 func sharesOf(e *rules.Engine, members []Member) map[string]float64 {
--- /dev/null
+++ b/core/rules/rules_test.go
@@ -0,0 +1,119 @@
+package rules
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestMatch(t *testing.T) {
+	r := New(3, []*Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}, nil, nil, Limits{})
+	tests := []struct{ name, host, path, want string }{
+		{"longest prefix", "a.example", "/x/y/z", "long"},
+		{"shorter prefix", "a.example", "/x/z", "short"},
+		{"port and case of the host", "A.Example:8080", "/x/z", "short"},
+		{"host decides", "b.example", "/x/y/z", "other"},
+		{"prefix without its slash", "a.example", "/x", ""},
+		{"no such host", "c.example", "/x/", ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got := ""
+			if m := r.Match(tc.host, tc.path); m != nil {
+				got = m.Name
+			}
+			if got != tc.want {
+				t.Errorf("route %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := &Route{Split: []Share{{"a", 90}, {"b", 10}}}
+	const draws = 1000
+	counts := make(map[string]int)
+	for i := range draws {
+		counts[r.Service(float64(i)/draws)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 {
+		t.Errorf("requests by service: %v, want 900 and 100", counts)
+	}
+	if got := (&Route{}).Service(0.5); got != "" {
+		t.Errorf("a route without services names %q", got)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		name string
+		r    Route
+		want bool
+	}{
+		{"idempotent", Route{Kind: Idempotent}, true},
+		{"not idempotent", Route{Kind: NonIdempotent}, false},
+		{"stream", Route{Kind: Streaming}, false},
+		{"stream that may be resumed", Route{Kind: Streaming, Resumable: true}, true},
+		{"resumable says nothing of calls", Route{Kind: NonIdempotent, Resumable: true}, false},
+	}
+	for _, tc := range tests {
+		if got := tc.r.Repeatable(); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	open := New(1, nil, nil, nil, Limits{})
+	if open.NeedsKey(&Route{}) {
+		t.Error("a key is asked for though the configuration has no teams")
+	}
+	r := New(1, nil, nil, map[string]Team{"k": {Name: "t", Priority: 2}}, Limits{})
+	if !r.NeedsKey(&Route{}) || r.NeedsKey(&Route{Public: true}) {
+		t.Error("a key is needed on all but public routes")
+	}
+	if team, ok := r.Team("k"); !ok || team.Name != "t" {
+		t.Errorf("team of the key: %v, %v", team, ok)
+	}
+	if _, ok := r.Team(""); ok {
+		t.Error("an empty key has a team")
+	}
+}
+
+// TestReadRate holds the engine's model to the pages' arithmetic: a pass runs its steps for those that write and then
+// reads one chunk.
+func TestReadRate(t *testing.T) {
+	e := &Engine{
+		Layers: 80, Step: time.Millisecond, PerWriter: 10 * time.Microsecond, ReadPerSecond: 100_000, Stride: 3, Chunk: 500,
+	}
+	c := Card{Pace: 4, Read: 2}
+	// 500 tokens through 20 of 80 layers: 500/100,000 s x 2 x 0.25 = 2.5 ms.
+	if got, want := e.ReadRate(c, 20, 0, 0), 500/0.0025; math.Abs(got-want) > 1 {
+		t.Errorf("rate alone %v, want %v", got, want)
+	}
+	// Three steps of (1 + 100 x 0.01) ms x 4 x 0.25 = 6 ms come before each chunk.
+	if got, want := e.Pass(c, 20, 100, 0), 6*time.Millisecond; got != want {
+		t.Errorf("pass %v, want %v", got, want)
+	}
+	if got, want := e.ReadRate(c, 20, 100, 0), 500/0.0085; math.Abs(got-want) > 1 {
+		t.Errorf("rate beside 100 writers %v, want %v", got, want)
+	}
+}
+
+func TestRoom(t *testing.T) {
+	e := &Engine{Layers: 80, LayerMB: 1750, TokenBytes: 918_000}
+	c := Card{SizeMB: 21_600}
+	if got := e.MostLayers(c); got != 12 {
+		t.Errorf("layers that fit: %d, want 12", got)
+	}
+	if got := e.Room(c, 8) / 8; math.Abs(got-82_788) > 1 {
+		t.Errorf("tokens beside 8 layers: %v, want 82,788", got)
+	}
+	if got := e.Room(c, 13); got != 0 {
+		t.Errorf("room beside more layers than fit: %v", got)
+	}
+}
--- a/io/cli/node.go
+++ b/io/cli/node.go
@@ -18,6 +18,7 @@
 	*output
 	config  daemon.Config
 	verbose bool
+	metrics int // port
 }
 
 // Name returns the subcommand's name.
@@ -47,6 +48,7 @@
 	f.StringVar(&c.config.Objects, "objects", "", "IP:port of the platform's object store")
 	f.StringVar(&c.config.List, "list", "", "IP:port of the platform's list of VMs")
 	f.StringVar(&c.config.Policy, "policy", "finish", "routing policy; see explain")
+	f.IntVar(&c.metrics, "metrics-port", 0, "port of the page of figures on the users' platform, 0 for none")
 	f.BoolVar(&c.verbose, "verbose", false, "log details")
 }
 
@@ -78,9 +80,13 @@
 
 // onPlatform runs the daemon with the settings file that the users' platform wrote.
 func (c *nodeCommand) onPlatform(ctx context.Context, path string) subcommands.ExitStatus {
-	log := logs.New(c.stdout, c.verbose)
+	lines := logs.NewBounded(c.stdout)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	written := lines.Run(life)
+	defer func() { end(); <-written }()
+	log := logs.New(lines, c.verbose)
 	logs.TakeOver(log)
-	err := plat.Run(ctx, path, log)
+	err := plat.Run(ctx, path, c.metrics, log)
 	var bad *plat.SettingsError
 	switch {
 	case errors.As(err, &bad):
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -22,6 +22,7 @@
 	Datagrams  string // IP:port for other nodes' datagrams
 	Seeds      []string
 	Store      string // IP:port
+	Metrics    string // IP:port of the page of figures, or "" for none
 
 	MemoryMB int
 	Files    int // descriptors
@@ -52,13 +53,12 @@
 
 // Platform is what the node needs of the platform.
 type Platform struct {
-	Wire        Wire
-	Table       store.Table
-	Feed        store.Feed
-	Engines     func(*hop.Pool) Engines
-	Settings    func() (Config, error) // reads them anew
-	Rules       func(raw []byte) (*rules.Rules, error)
-	Upstream    func(id string, raw []byte) (*fleet.Upstream, error)
-	ReadyPath   string
-	MetricsPath string
+	Wire      Wire
+	Table     store.Table
+	Feed      store.Feed
+	Engines   func(*hop.Pool) Engines
+	Settings  func() (Config, error) // reads them anew
+	Rules     func(raw []byte) (*rules.Rules, error)
+	Upstream  func(id string, raw []byte) (*fleet.Upstream, error)
+	ReadyPath string
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -22,6 +22,7 @@
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
 	"rhubarbspread/io/mesh"
+	"rhubarbspread/io/stats"
 
 	"github.com/go-logr/logr"
 )
@@ -58,7 +59,7 @@
 	stopping atomic.Bool
 	active   atomic.Int64
 	conns    atomic.Int64
-	dials    atomic.Int64
+	stats    *stats.Set
 
 	storeMu   sync.Mutex
 	storeLost map[store.Topic]bool
@@ -71,17 +72,20 @@
 	n := &Node{
 		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
 		board:     board.New(board.WithDataCentre(c.DataCentre)),
+		stats:     stats.New(),
 		budget:    retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeLost: make(map[store.Topic]bool), storeAt: make(map[store.Topic]time.Time),
 		outage: fleet.NewOutage(c.Heartbeat, lapseGrace),
 	}
 	n.settings.Store(&c)
-	n.pool = hop.NewPool(func() { n.dials.Add(1) })
+	n.pool = hop.NewPool(func() { n.stats.Count("connections-to-upstreams") })
 	n.engines = p.Engines(n.pool)
-	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.engines, n.board, n, n.budget, n.log)
+	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.engines, n.board, n, n.budget, n.stats, n.log)
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
 	n.mesh = mesh.New(mesh.Config{Node: c.Node, DataCentre: c.DataCentre, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
+	n.stats.Gauge("requests-active", func() any { return n.active.Load() })
+	n.stats.Gauge("connections-from-callers", func() any { return n.conns.Load() })
 	n.lease.SetCalm(n.mesh.IsPlanned)
 	return n
 }
@@ -161,8 +165,17 @@
 	door := &http.Server{
 		Handler: &front{n}, ReadHeaderTimeout: headerTime, ConnState: n.count, ErrorLog: quietLog(),
 	}
-	served := make(chan error, 2)
+	served := make(chan error, 3)
 	go func() { served <- door.Serve(callers) }()
+	if n.config.Metrics != "" {
+		metrics, err := net.Listen("tcp", n.config.Metrics)
+		if err != nil {
+			return errors.Join(err, callers.Close(), ready.Close())
+		}
+		page := &http.Server{Handler: n.stats.Text(), ReadHeaderTimeout: headerTime}
+		go func() { served <- page.Serve(metrics) }()
+		defer page.Close()
+	}
 	readiness := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime}
 	go func() { served <- readiness.Serve(ready) }()
 	select {
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -169,14 +169,14 @@
 
 // lapse removes entries that did not come back, and reports whether there were any.
 func (c *control) lapse() bool {
-	any := false
+	removed := false
 	for id, until := range c.gone {
 		if time.Now().After(until) {
 			c.remove(id, "its entry lapsed and did not come back")
-			any = true
+			removed = true
 		}
 	}
-	return any
+	return removed
 }
 
 // nodeRow is what a node writes of itself.
--- /dev/null
+++ b/io/hop/hop_test.go
@@ -0,0 +1,299 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// server answers each request on each connection with the bytes that a test gives.
+type server struct {
+	address string
+	conns   atomic.Int64
+	seen    chan string // request lines and headers
+}
+
+// serve runs a server until the test ends; answer returns the bytes for the nth request, and whether the connection
+// is closed after them.
+func serve(t *testing.T, answer func(n int64) (string, bool)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{address: l.Addr().String(), seen: make(chan string, 100)}
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(req.Body)
+					if err != nil {
+						return
+					}
+					s.seen <- req.Method + " " + req.RequestURI + " " + string(body)
+					text, closes := answer(requests.Add(1))
+					if _, err := io.WriteString(c, text); err != nil || closes {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *server) call(id string) *Call {
+	return &Call{
+		Target: Target{"u", s.address}, Method: "POST", URI: "/x/?q=1", Host: "h.example",
+		Header: http.Header{"X-Id": {id}, "Connection": {"X-Gone"}}, Body: []byte("body"),
+		Foreign: func(_ int, h http.Header) bool { return h.Get("X-Id") != id },
+	}
+}
+
+func answerTo(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0' + n)) }
+
+func newPool() *Pool { return NewPool(func() {}) }
+
+// do makes a call and reads its body.
+func do(t *testing.T, p *Pool, c *Call) (string, error) {
+	t.Helper()
+	resp, err := p.Do(t.Context(), c)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	s := serve(t, func(int64) (string, bool) { return answerTo("1", "yes"), false })
+	p := newPool()
+	for range 3 {
+		body, err := do(t, p, s.call("1"))
+		if err != nil || body != "yes" {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections for three calls, want 1", n)
+	}
+	if got := <-s.seen; got != "POST /x/?q=1 body" {
+		t.Errorf("the upstream saw %q", got)
+	}
+}
+
+// TestBytesLeftOverBelongToNobody: a second answer after a complete one must not become the next request's.
+func TestBytesLeftOverBelongToNobody(t *testing.T) {
+	s := serve(t, func(n int64) (string, bool) {
+		if n == 1 {
+			return answerTo("1", "one") + answerTo("1", "bad"), false
+		}
+		return answerTo("2", "two"), false
+	})
+	p := newPool()
+	if body, err := do(t, p, s.call("1")); err != nil || body != "one" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if body, err := do(t, p, s.call("2")); err != nil || body != "two" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections, want a new one after bytes were left over", n)
+	}
+}
+
+// TestLateAnswerIsReadPast: an extra answer that arrives where the next one is due bears another ID.
+func TestLateAnswerIsReadPast(t *testing.T) {
+	s := serve(t, func(n int64) (string, bool) {
+		if n == 1 {
+			return answerTo("1", "one"), false
+		}
+		return answerTo("1", "bad") + answerTo("2", "two"), false
+	})
+	p := newPool()
+	if _, err := do(t, p, s.call("1")); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := do(t, p, s.call("2")); err != nil || body != "two" {
+		t.Fatalf("%q, %v, want the second answer", body, err)
+	}
+}
+
+func TestFailures(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		sent   bool
+	}{
+		{"closed without an answer", "", true},
+		{"no answer of the protocol", "garbage\r\n\r\n", true},
+		{"only another request's answer", answerTo("9", "bad"), true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s := serve(t, func(int64) (string, bool) { return tc.answer, true })
+			_, err := do(t, newPool(), s.call("1"))
+			var e *Error
+			if !errors.As(err, &e) || e.Sent() != tc.sent {
+				t.Errorf("%v, want an error with sent %v", err, tc.sent)
+			}
+		})
+	}
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s := &server{address: address}
+	_, err = do(t, newPool(), s.call("1"))
+	var e *Error
+	if !errors.As(err, &e) || e.Sent() {
+		t.Errorf("%v, want an error that says not sent", err)
+	}
+}
+
+func TestCutAnswerIsNoWholeAnswer(t *testing.T) {
+	s := serve(t, func(int64) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", true
+	})
+	if body, err := do(t, newPool(), s.call("1")); err == nil {
+		t.Errorf("%q without an error", body)
+	}
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	s := serve(t, func(int64) (string, bool) { return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", false })
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := newPool().Do(ctx, s.call("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := io.ReadAll(resp.Body); err == nil {
+		t.Error("the body ended well though its context was over")
+	}
+}
+
+func TestKeepTime(t *testing.T) {
+	tests := []struct {
+		name   string
+		header http.Header
+		close  bool
+		want   time.Duration
+	}{
+		{"not told", http.Header{}, false, keepDefault},
+		{"told", http.Header{"Keep-Alive": {"timeout=3, max=5"}}, false, 3*time.Second - keepMargin},
+		{"told badly", http.Header{"Keep-Alive": {"timeout=x"}}, false, keepDefault},
+		{"leaving", http.Header{}, true, 0},
+	}
+	for _, tc := range tests {
+		if got := keepTime(&http.Response{Header: tc.header, Close: tc.close}); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := serve(t, func(int64) (string, bool) { return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", false })
+	p := newPool()
+	c := s.call("1")
+	c.MostConns = 1
+	resp, err := p.Do(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = p.Do(t.Context(), c)
+	var e *Error
+	if !errors.As(err, &e) || e.Sent() || !errors.Is(err, errConns) {
+		t.Errorf("%v, want that all connections are in use", err)
+	}
+	if err := resp.Body.Close(); err != nil {
+		t.Fatal(err)
+	}
+	resp, err = p.Do(t.Context(), c)
+	if err != nil {
+		t.Fatalf("after the first call: %v", err)
+	}
+	_ = resp.Body.Close()
+}
+
+func TestEncode(t *testing.T) {
+	tests := []struct {
+		name string
+		call Call
+		want []string
+		none []string
+		bad  bool
+	}{
+		{
+			"headers of one connection stay behind",
+			Call{Method: "GET", URI: "/x/", Host: "h", Header: http.Header{"Connection": {"close"}, "Te": {"trailers"}, "A": {"1", "2"}}},
+			[]string{"GET /x/ HTTP/1.1\r\n", "Host: h\r\n", "A: 1\r\n", "A: 2\r\n"}, []string{"Connection", "Te:", "Content-Length"}, false,
+		},
+		{"a body has its length", Call{Method: "POST", URI: "/", Host: "h", Body: []byte("abc")}, []string{"Content-Length: 3\r\n\r\nabc"}, nil, false},
+		{"no body has a length too", Call{Method: "POST", URI: "/", Host: "h"}, []string{"Content-Length: 0\r\n"}, nil, false},
+		{"a request in the target", Call{Method: "GET", URI: "/ HTTP/1.1\r\n\r\nGET /", Host: "h"}, nil, nil, true},
+		{"a request in a header", Call{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A": {"1\r\n\r\nGET / HTTP/1.1"}}}, nil, nil, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			raw, err := encode(&tc.call)
+			if (err != nil) != tc.bad {
+				t.Fatalf("error %v", err)
+			}
+			for _, s := range tc.want {
+				if !strings.Contains(string(raw), s) {
+					t.Errorf("%q lacks %q", raw, s)
+				}
+			}
+			for _, s := range tc.none {
+				if strings.Contains(string(raw), s) {
+					t.Errorf("%q has %q", raw, s)
+				}
+			}
+		})
+	}
+}
+
+func TestSweepClosesWhatIsGone(t *testing.T) {
+	s := serve(t, func(int64) (string, bool) { return answerTo("1", "yes"), false })
+	p := newPool()
+	if _, err := do(t, p, s.call("1")); err != nil {
+		t.Fatal(err)
+	}
+	p.Sweep(func(Target) bool { return false })
+	if len(p.idle) != 0 || len(p.open) != 0 {
+		t.Errorf("%d idle and %d open connections are left", len(p.idle), len(p.open))
+	}
+}
