--- a/spec/check.sh
+++ b/spec/check.sh
@@ -47,6 +47,11 @@
 fails lease.pml -DM_ONCE
 fails lease.pml -DM_NOWAIT
 fails lease.pml -DM_LATEMARK
+holds place.pml
+fails place.pml -DM_NOSEQ
+fails place.pml -DM_TRUST
+fails place.pml -DM_NOBORN
+fails place.pml -DM_NOREAD
 holds chain.pml
 fails chain.pml -DM_ANYANSWER
 fails chain.pml -DM_ANYEPOCH
