--- a/core/board/path.go
+++ b/core/board/path.go
@@ -15,7 +15,8 @@
 	Prompt     float64 // tokens to read
 	Output     float64 // tokens that it is expected to write
 	Exclude    []string
-	Patience   time.Duration // longest time to the first event that is worth a start, or 0
+	Warm       func(*fleet.Upstream) bool // a connection to it is kept; nil if not known
+	Patience   time.Duration              // longest time to the first event that is worth a start, or 0
 }
 
 // Estimate is the predicted course of a generation on a path.
@@ -32,6 +33,7 @@
 	writingShare = 1.0                   // of the time for writing that counts: callers wait for the first event most
 	variance     = 0.1                   // random part of a cost, so that nodes that know the same choose differently
 	crossing     = 30 * time.Millisecond // cost of a path's step to another data centre, which a cut would break
+	coldFirst    = 5 * time.Millisecond  // cost of a first part to which no connection is kept
 	foreignFirst = 2 * time.Millisecond  // cost of a first part in another data centre, for the bytes between them
 )
 
@@ -258,6 +260,7 @@
 	total    float64
 	writers  float64
 	reading  float64 // prompt tokens x layers before it
+	cold     bool    // no connection to it is kept
 	noFirst  bool    // its slots are taken
 	chance   float64 // random factor on its costs
 }
@@ -282,6 +285,7 @@
 			writers: float64(s.running + s.others.Running),
 			reading: s.reading + s.others.Reading,
 			noFirst: s.first+s.others.First >= u.Slots,
+			cold:    n.Warm != nil && u.Layers.From == 0 && !n.Warm(u),
 			chance:  1 + variance*b.random.Float64(),
 		})
 	}
@@ -309,6 +313,9 @@
 	if layers.From == 0 && c.upstream.DataCentre != n.DataCentre {
 		price += float64(foreignFirst)
 	}
+	if layers.From == 0 && c.cold {
+		price += float64(coldFirst)
+	}
 	if centre != "" && centre != c.upstream.DataCentre {
 		price += float64(crossing)
 	}
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -177,6 +177,7 @@
 		Prompt:     float64(r.q.Prompt),
 		Output:     r.expectedOutput(),
 		Exclude:    slices.Clone(r.exclude),
+		Warm:       r.c.transport.HasConnection,
 		Patience:   time.Duration(patienceShare * float64(patience(r.q.Route))),
 	}
 }
--- a/core/carry/fake_test.go
+++ b/core/carry/fake_test.go
@@ -51,6 +51,8 @@
 
 func (w *world) Observe(string, time.Duration) {}
 
+func (w *world) HasConnection(*fleet.Upstream) bool { return true }
+
 func (w *world) Send(ctx context.Context, s *Send) (*Answer, error) {
 	w.mu.Lock()
 	w.sends = append(w.sends, s)
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -81,6 +81,8 @@
 // Transport sends attempts. Its error is a *SendError.
 type Transport interface {
 	Send(ctx context.Context, s *Send) (*Answer, error)
+	// HasConnection reports whether a connection to an upstream is kept.
+	HasConnection(u *fleet.Upstream) bool
 }
 
 // SendError is an attempt without an answer.
--- a/core/place/mend.go
+++ b/core/place/mend.go
@@ -16,7 +16,6 @@
 // gains enough. Ranges that overlap the present one are loaded in part only.
 func Mend(e *rules.Engine, members []Member) (Move, bool) {
 	c := coverOf(e, members)
-	before := c.value()
 	var best Move
 	most := 0.0
 	shares := sharesOf(e, members)
@@ -26,23 +25,48 @@
 		}
 		old := weigh(e, m.Card, m.Layers.Len())
 		c.add(m.DataCentre, m.Layers, -old)
+		gains := newGains(c, m.DataCentre)
 		for _, r := range rangesFor(e, m, shares[m.DataCentre]) {
 			load := r.Len() - overlap(r, m.Layers)
 			if load == 0 {
 				continue
 			}
-			w := weigh(e, m.Card, r.Len())
-			c.add(m.DataCentre, r, w)
-			if gain := (c.value() - before) / float64(load); gain > max(most, mendGain) {
+			gain := gains.of(r, weigh(e, m.Card, r.Len())) - gains.of(m.Layers, old)
+			if gain /= float64(load); gain > max(most, mendGain) {
 				best, most = Move{m.ID, r}, gain
 			}
-			c.add(m.DataCentre, r, -w)
 		}
 		c.add(m.DataCentre, m.Layers, old)
 	}
 	return best, most > 0
 }
 
+// gains are what one more holder adds to the value of a cover, by its weight, as sums over the layers before each.
+type gains struct {
+	cover  *cover
+	centre string
+	sums   map[float64][]float64
+}
+
+func newGains(c *cover, centre string) *gains {
+	return &gains{cover: c, centre: centre, sums: make(map[float64][]float64)}
+}
+
+// of returns what a holder of a weight adds with a range.
+func (g *gains) of(r fleet.Range, weight float64) float64 {
+	sums := g.sums[weight]
+	if sums == nil {
+		own := g.cover.of(g.centre)
+		sums = make([]float64, g.cover.layers+1)
+		for i := range g.cover.layers {
+			sums[i+1] = sums[i] + worth(g.cover.all[i]+weight) - worth(g.cover.all[i]) +
+				centreGain*(worth(own[i]+weight)-worth(own[i]))
+		}
+		g.sums[weight] = sums
+	}
+	return sums[r.To] - sums[r.From]
+}
+
 // rangesFor returns the ranges that an upstream may hold instead: of its usual width anywhere, and its present one
 // with more layers on either side.
 func rangesFor(e *rules.Engine, m Member, share float64) []fleet.Range {
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -64,9 +64,9 @@
 func (c *cover) value() float64 {
 	sum := 0.0
 	for i, all := range c.all {
-		sum -= 1 / (all + thinCopies)
+		sum += worth(all)
 		for _, own := range c.centre {
-			sum -= centreGain / (own[i] + thinCopies)
+			sum += centreGain * worth(own[i])
 		}
 	}
 	return sum
@@ -82,6 +82,9 @@
 	return sum
 }
 
+// worth is the value of a layer's copies; rarity is its slope.
+func worth(copies float64) float64 { return -1 / (max(0, copies) + thinCopies) }
+
 func rarity(copies float64) float64 {
 	d := copies + thinCopies
 	return 1 / (d * d)
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -31,6 +31,7 @@
 	pending map[string]pending
 	told    time.Time
 	names   []string             // upstreams at the last look
+	content []Member             // for which there was nothing to mend
 	settled time.Time            // since when they are the same
 	moved   map[string]time.Time // upstreams that hold layers and were given others
 }
@@ -99,8 +100,13 @@
 	if now.Sub(p.settled) < settleTime || len(p.mending(now)) >= mostMends {
 		return nil
 	}
-	m, ok := Mend(e, p.restless(members, now))
+	candidates := p.restless(members, now)
+	if slices.Equal(candidates, p.content) {
+		return nil
+	}
+	m, ok := Mend(e, candidates)
 	if !ok {
+		p.content = candidates
 		return nil
 	}
 	p.moved[m.ID] = now
--- a/io/entry/transport.go
+++ b/io/entry/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"rhubarbspread/core/carry"
+	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/rules"
 	"rhubarbspread/io/hop"
 )
@@ -17,6 +18,11 @@
 	node *Node
 }
 
+// HasConnection reports whether a connection to an upstream is kept.
+func (t *transport) HasConnection(u *fleet.Upstream) bool {
+	return t.pool.HasIdle(hop.Target{ID: u.ID, Address: u.Address})
+}
+
 // Send sends an attempt; its error is a *carry.SendError.
 func (t *transport) Send(ctx context.Context, s *carry.Send) (*carry.Answer, error) {
 	h := s.Header.Clone()
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -193,7 +193,9 @@
 }
 
 func TestEndOfContextClosesTheConnection(t *testing.T) {
-	s := serve(t, func(int64) (string, bool) { return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", false })
+	s := serve(t, func(int64) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", false
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	resp, err := newPool().Do(ctx, s.call("1"))
 	if err != nil {
@@ -225,7 +227,9 @@
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
-	s := serve(t, func(int64) (string, bool) { return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", false })
+	s := serve(t, func(int64) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", false
+	})
 	p := newPool()
 	c := s.call("1")
 	c.MostConns = 1
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -17,7 +17,7 @@
 // Constants of kept connections.
 const (
 	keepDefault  = 4 * time.Second // where the upstream does not tell its time-out
-	keepMargin   = 500 * time.Millisecond
+	keepMargin   = 250 * time.Millisecond
 	keepFresh    = time.Second // idle time up to which a connection may carry what can't be repeated
 	mostIdle     = 64          // connections kept to one upstream
 	skipLimit    = 2           // late answers to earlier requests that are read past
@@ -120,6 +120,13 @@
 	return cn, nil
 }
 
+// HasIdle reports whether a connection to a target is kept.
+func (p *Pool) HasIdle(t Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[t]) > 0
+}
+
 func (p *Pool) pop(t Target) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
