--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -323,7 +323,7 @@
 			t.Error("the new part does not count as reading")
 		}
 	}
-	if _, ok := tk.Bypass(list, need(), []string{"u"}); ok && uses(tk, "u") == false {
+	if _, ok := tk.Bypass(list, need(), []string{"u"}); ok && !uses(tk, "u") {
 		t.Error("the first part was bypassed")
 	}
 }
--- a/core/carry/fake_test.go
+++ b/core/carry/fake_test.go
@@ -180,7 +180,9 @@
 func model() *rules.Engine {
 	return &rules.Engine{
 		Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Step: time.Millisecond, ReadPerSecond: 105_000, Stride: 3, Chunk: 512,
-		Pipe: 26_000, Prompt: 774, Answer: 200, Kinds: map[string]rules.Card{"big": {SizeMB: 250_000, Pace: 2, Read: 2}},
+		Pipe: 26_000, Prompt: 774, Answer: 200, Kinds: map[string]rules.Card{
+			"big": {SizeMB: 250_000, Pace: 2, Read: 2}, "slow": {SizeMB: 250_000, Pace: 6, Read: 6},
+		},
 	}
 }
 
--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -99,6 +99,7 @@
 	case failed != nil:
 		w.stalled(failed)
 	case !w.waitsForParts() && silent > time.Duration(giveUpShare*float64(patience(r.q.Route))) && r.mayTryOther() && r.hasOther(t):
+		r.excludeOne(t.Upstream.ID)
 		w.giveUp("the stream is slow")
 	default:
 		w.again()
