--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -203,6 +203,10 @@
 // attempt makes one attempt and says how it ended.
 func (r *run) attempt(ctx context.Context, t *board.Ticket) reply.Outcome {
 	began := time.Now()
+	rulesVersion, list := r.c.world.Versions()
+	r.c.log.Info("attempt", "request", r.q.ID, "number", r.account.Attempts()+1, "upstream", t.Upstream.ID,
+		"path", board.Describe(t.Hops()), "expected-first-ms", t.Expected.First.Milliseconds(), "last-event", r.last,
+		"rules-version", rulesVersion, "list-version", list, "waited-ms", began.Sub(r.started).Milliseconds())
 	outcome := r.send(ctx, t)
 	r.c.meter.Count("attempts-" + kindOf(outcome))
 	if _, ok := outcome.(reply.Done); !ok {
--- a/core/carry/fake_test.go
+++ b/core/carry/fake_test.go
@@ -34,6 +34,7 @@
 
 func (w *world) Upstreams(string) []*fleet.Upstream { return w.list }
 func (w *world) DataCentre() string                 { return "a" }
+func (w *world) Versions() (uint64, uint64)         { return 1, 1 }
 func (w *world) First(string)                       {}
 
 func (w *world) Take(string) bool {
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -130,4 +130,6 @@
 	Upstreams(service string) []*fleet.Upstream
 	// DataCentre returns the node's own.
 	DataCentre() string
+	// Versions returns those of the configuration and of the list of upstreams, for logs.
+	Versions() (rules, list uint64)
 }
--- /dev/null
+++ b/io/cli/collected_test.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestTimelineOfCollectedLogs merges two nodes' logs by time and keeps one request's lines.
+func TestTimelineOfCollectedLogs(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	a := write("a.log", `time=2026-01-01T00:00:02.000Z level=INFO event=request-end node=n-1 request=id-1 outcome="503: no room"
+a line of something else
+time=2026-01-01T00:00:05.000Z level=INFO event=request-end node=n-1 request=id-2 outcome=done
+`)
+	b := write("b.log", `time=2026-01-01T00:00:01.000Z level=INFO event=attempt-failed node=n-2 request=id-1 path="u1:0-40 u2:40-80" outcome="refused by u2"
+`)
+	tests := []struct {
+		name string
+		args []string
+		want []string
+		none []string
+		code int
+	}{
+		{"one request", []string{"timeline", "-request", "id-1", a, b}, []string{"attempt-failed", "request-end"}, []string{"id-2"}, 0},
+		{"an upstream anywhere", []string{"timeline", "-upstream", "u2", a, b}, []string{"attempt-failed"}, []string{"request-end"}, 0},
+		{"a node", []string{"timeline", "-node", "n-1", a, b}, []string{"id-1", "id-2"}, []string{"attempt-failed"}, 0},
+		{"from a time on", []string{"timeline", "-since", "2026-01-01T00:00:03Z", a, b}, []string{"id-2"}, []string{"id-1"}, 0},
+		{"a bad time", []string{"timeline", "-since", "now", a}, nil, nil, 2},
+		{"no such file", []string{"timeline", filepath.Join(dir, "none")}, nil, nil, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var out, errs bytes.Buffer
+			if code := Run(t.Context(), tc.args, &out, &errs); code != tc.code {
+				t.Fatalf("exit code %d, want %d: %s", code, tc.code, errs.String())
+			}
+			at := 0
+			for _, s := range tc.want {
+				i := strings.Index(out.String()[at:], s)
+				if i < 0 {
+					t.Fatalf("%q lacks %q, or in another order", out.String(), s)
+				}
+				at += i
+			}
+			for _, s := range tc.none {
+				if strings.Contains(out.String(), s) {
+					t.Errorf("%q has %q", out.String(), s)
+				}
+			}
+		})
+	}
+}
--- a/io/cli/operate.go
+++ b/io/cli/operate.go
@@ -44,7 +44,7 @@
 			func(ctx context.Context, args []string) error { return out.drain(ctx, &f, args, true) }),
 		command("undrain", "give a drained VM work again", "undrain UPSTREAM", f.setFlags,
 			func(ctx context.Context, args []string) error { return out.drain(ctx, &f, args, false) }),
-		command("timeline", "merge the events of all nodes", "timeline [-request ID] [-team T] [-upstream U] [-node N] [-kind K] [-since RFC3339]",
+		command("timeline", "merge the events of all nodes", timelineUsage,
 			func(s *flag.FlagSet) {
 				f.setFlags(s)
 				s.StringVar(&filter.Request, "request", "", "only events of a request")
@@ -54,7 +54,12 @@
 				s.StringVar(&filter.Kind, "kind", "", "only events of a kind")
 				s.StringVar(&since, "since", "", "only events from a time on, RFC 3339")
 			},
-			func(ctx context.Context, _ []string) error { return out.timeline(ctx, &f, filter, since) }),
+			func(ctx context.Context, args []string) error {
+				if len(args) > 0 {
+					return out.timelineOf(args, filter, since)
+				}
+				return out.timeline(ctx, &f, filter, since)
+			}),
 		command("quarantine", "list quarantined requests, or clear one", "quarantine [clear FINGERPRINT]", f.setFlags,
 			func(ctx context.Context, args []string) error { return out.quarantine(ctx, &f, args) }),
 		command("unresolved", "list calls of which nobody can say whether they ran", "unresolved", p.setFlags,
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -124,6 +124,12 @@
 // DataCentre returns the node's own data centre.
 func (n *Node) DataCentre() string { return n.config.DataCentre }
 
+// Versions returns those of the configuration and of the list of upstreams.
+func (n *Node) Versions() (rulesVersion, list uint64) {
+	k := n.known()
+	return k.Rules, k.List
+}
+
 // connShare returns how many connections this node may have to one upstream of a service.
 func (n *Node) connShare(s *rules.Service) int {
 	v := n.view.Load()
