Quarantine requests that upstreams die of, and tell the other nodes

An upstream whose connection broke before it gave anything, and that accepts no other, died of the request as far as one node can tell; two deaths put its fingerprint (target, caller, body) into quarantine on all nodes.

--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rhubarbspread/core/board"
+	"rhubarbspread/core/crash"
 	"rhubarbspread/core/reply"
 	"rhubarbspread/core/rules"
 
@@ -30,13 +31,31 @@
 	world     World
 	budget    Spender
 	meter     Meter
+	crashes   Crashes
+	spread    func(crash.Mark)
 	log       logr.Logger
 	doctor    doctor
 }
 
+// Parts are what a carrier works with.
+type Parts struct {
+	Transport Transport
+	Engines   Engines
+	Board     *board.Board
+	World     World
+	Budget    Spender
+	Crashes   Crashes
+	Spread    func(crash.Mark) // tells other nodes
+	Meter     Meter
+	Log       logr.Logger
+}
+
 // New returns a carrier.
-func New(t Transport, e Engines, b *board.Board, w World, budget Spender, m Meter, log logr.Logger) *Carrier {
-	return &Carrier{transport: t, engines: e, board: b, world: w, budget: budget, meter: m, log: log, doctor: doctor{engines: e}}
+func New(p Parts) *Carrier {
+	return &Carrier{
+		transport: p.Transport, engines: p.Engines, board: p.Board, world: p.World, budget: p.Budget, crashes: p.Crashes,
+		spread: p.Spread, meter: p.Meter, log: p.Log, doctor: doctor{engines: p.Engines},
+	}
 }
 
 // Refusal is the final answer of a request that got none from an upstream.
@@ -83,21 +102,27 @@
 	last     int64 // ID of the latest event that the caller has
 	lastText string
 	started  time.Time
+	print    crash.Fingerprint
 }
 
 // Run carries a request to its end. Its error is a *Refusal, ErrBroken or ErrGone.
 func (c *Carrier) Run(ctx context.Context, q *Request, sink Sink) error {
-	r := &run{c: c, q: q, sink: sink, last: noID, lastText: q.LastEvent, started: time.Now()}
+	r := &run{c: c, q: q, sink: sink, last: noID, lastText: q.LastEvent, started: time.Now(), print: q.fingerprint()}
 	c.budget.First(q.Service.Name)
 	ctx, cancel := context.WithDeadline(ctx, q.Until)
 	defer cancel()
 	for {
+		if err := r.quarantined(); err != nil {
+			return r.end(ctx, err)
+		}
 		t, err := r.reserve(ctx)
 		if err != nil {
 			return r.end(ctx, err)
 		}
+		before := r.last
 		outcome := r.attempt(ctx, t)
 		t.Release()
+		r.judge(ctx, t, outcome, r.last != before)
 		r.account.Add(outcome)
 		if _, ok := outcome.(reply.Done); ok {
 			return r.end(ctx, nil)
--- a/core/carry/fake_test.go
+++ b/core/carry/fake_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"rhubarbspread/core/board"
+	"rhubarbspread/core/crash"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/place"
 	"rhubarbspread/core/rules"
@@ -30,6 +31,9 @@
 	repath  func(hops []board.Hop) (string, error)
 	repeats int // that the budget allows
 	counts  map[string]int
+	dead    bool // upstreams accept no connection after an attempt that broke
+	marks   []crash.Mark
+	crashes *crash.Registry
 }
 
 func (w *world) Upstreams(string) []*fleet.Upstream { return w.list }
@@ -54,6 +58,13 @@
 
 func (w *world) HasConnection(*fleet.Upstream) bool { return true }
 
+func (w *world) Reach(context.Context, *fleet.Upstream) error {
+	if w.dead {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
 func (w *world) Send(ctx context.Context, s *Send) (*Answer, error) {
 	w.mu.Lock()
 	w.sends = append(w.sends, s)
@@ -200,7 +211,13 @@
 
 func (w *world) carrier() *Carrier {
 	w.counts = make(map[string]int)
-	return New(w, w, board.New(board.WithSeed(1), board.WithDataCentre("a")), w, w, w, logr.Discard())
+	if w.crashes == nil {
+		w.crashes = crash.NewRegistry(time.Now, func() uint64 { return uint64(time.Now().UnixNano()) }, time.Minute)
+	}
+	return New(Parts{
+		Transport: w, Engines: w, Board: board.New(board.WithSeed(1), board.WithDataCentre("a")), World: w, Budget: w,
+		Crashes: w.crashes, Spread: func(m crash.Mark) { w.marks = append(w.marks, m) }, Meter: w, Log: logr.Discard(),
+	})
 }
 
 // checkEvents fails unless a body is the events from the first to the last, each once.
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -83,6 +83,8 @@
 	Send(ctx context.Context, s *Send) (*Answer, error)
 	// HasConnection reports whether a connection to an upstream is kept.
 	HasConnection(u *fleet.Upstream) bool
+	// Reach opens and closes a connection to an upstream.
+	Reach(ctx context.Context, u *fleet.Upstream) error
 }
 
 // SendError is an attempt without an answer.
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -14,6 +14,8 @@
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/carry"
+	"rhubarbspread/core/crash"
+	"rhubarbspread/core/event"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/lease"
 	"rhubarbspread/core/place"
@@ -29,15 +31,16 @@
 
 // Constants of a node's life.
 const (
-	balancerTime = 2700 * time.Millisecond // two misses of a question a second, and the way there
-	stopMargin   = 400 * time.Millisecond  // before the grace ends
-	headerTime   = 10 * time.Second        // in which a caller's headers must be in
-	memoryShare  = 0.6                     // of the VM's memory at which the collector works harder
-	leaseTerm    = 4 * time.Second
-	planPause    = 300 * time.Millisecond
-	firstPlan    = 6500 * time.Millisecond // longest wait after the start for all upstreams to have registered
-	sweepPause   = time.Second
-	leaseName    = "placement"
+	balancerTime   = 2700 * time.Millisecond // two misses of a question a second, and the way there
+	stopMargin     = 400 * time.Millisecond  // before the grace ends
+	headerTime     = 10 * time.Second        // in which a caller's headers must be in
+	memoryShare    = 0.6                     // of the VM's memory at which the collector works harder
+	leaseTerm      = 4 * time.Second
+	planPause      = 300 * time.Millisecond
+	firstPlan      = 6500 * time.Millisecond // longest wait after the start for all upstreams to have registered
+	sweepPause     = time.Second
+	quarantineTime = 10 * time.Minute // as for the router's own interface
+	leaseName      = "placement"
 )
 
 // Node is one running node.
@@ -80,16 +83,34 @@
 	n.settings.Store(&c)
 	n.pool = hop.NewPool(func() { n.stats.Count("connections-to-upstreams") })
 	n.engines = p.Engines(n.pool)
-	n.carrier = carry.New(&transport{pool: n.pool, wire: p.Wire, node: n}, n.engines, n.board, n, n.budget, n.stats, n.log)
+	clock := event.NewClock(time.Now)
+	crashes := crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime)
+	n.mesh = mesh.New(mesh.Config{Node: c.Node, DataCentre: c.DataCentre, Datagrams: c.Datagrams, Questions: c.Control}, n.board,
+		n.known, n.others, &marks{crashes, clock}, n.log)
+	n.carrier = carry.New(carry.Parts{
+		Transport: &transport{pool: n.pool, wire: p.Wire, node: n}, Engines: n.engines, Board: n.board, World: n,
+		Budget: n.budget, Crashes: crashes, Spread: n.mesh.Spread, Meter: n.stats, Log: n.log,
+	})
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
-	n.mesh = mesh.New(mesh.Config{Node: c.Node, DataCentre: c.DataCentre, Datagrams: c.Datagrams, Questions: c.Control}, n.board, n.known, n.others, n.log)
 	n.stats.Gauge("requests-active", func() any { return n.active.Load() })
 	n.stats.Gauge("connections-from-callers", func() any { return n.conns.Load() })
 	n.lease.SetCalm(n.mesh.IsPlanned)
 	return n
 }
 
+// marks passes other nodes' marks on.
+type marks struct {
+	crashes *crash.Registry
+	clock   *event.Clock
+}
+
+// Learn takes over a mark from another node.
+func (m *marks) Learn(mark crash.Mark) {
+	m.clock.Saw(event.Stamp(mark.Stamp))
+	m.crashes.Learn(mark)
+}
+
 // known returns what this node can tell another.
 func (n *Node) known() mesh.Known {
 	v := n.view.Load()
--- a/io/entry/transport.go
+++ b/io/entry/transport.go
@@ -23,6 +23,15 @@
 	return t.pool.HasIdle(hop.Target{ID: u.ID, Address: u.Address})
 }
 
+// Reach opens and closes a connection to an upstream.
+func (t *transport) Reach(ctx context.Context, u *fleet.Upstream) error {
+	c, err := hop.Dialer().DialContext(ctx, "tcp", u.Address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Send sends an attempt; its error is a *carry.SendError.
 func (t *transport) Send(ctx context.Context, s *carry.Send) (*carry.Answer, error) {
 	h := s.Header.Clone()
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"rhubarbspread/core/board"
+	"rhubarbspread/core/crash"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh/wire"
 
@@ -37,6 +39,11 @@
 	Plans bool // it holds the lease
 }
 
+// Marks are those of crashing requests, which nodes tell each other at once.
+type Marks interface {
+	Learn(m crash.Mark)
+}
+
 // Peer is another node as its datagrams show it.
 type Peer struct {
 	Name       string
@@ -65,8 +72,41 @@
 	log         logr.Logger
 	incarnation uint64
 
+	marks Marks
+
 	mu    sync.Mutex
 	peers map[string]*seen
+	fresh []freshMark // of this node
+}
+
+// freshMark is a mark that goes out with each datagram for a while, since datagrams get lost.
+type freshMark struct {
+	mark  crash.Mark
+	until time.Time
+}
+
+const markTime = 3 * time.Second
+
+// Spread tells the other nodes of a mark.
+func (m *Mesh) Spread(mark crash.Mark) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fresh = append(m.fresh, freshMark{mark, time.Now().Add(markTime)})
+}
+
+// freshMarks returns the marks that still go out.
+func (m *Mesh) freshMarks() []*wire.Crash {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fresh = slices.DeleteFunc(m.fresh, func(f freshMark) bool { return time.Now().After(f.until) })
+	var list []*wire.Crash
+	for _, f := range m.fresh {
+		list = append(list, &wire.Crash{
+			Fingerprint: string(f.mark.Fingerprint), Upstream: f.mark.Upstream, DataCentre: f.mark.DataCentre,
+			Stamp: f.mark.Stamp, Sign: uint32(f.mark.Sign), Cleared: f.mark.Cleared,
+		})
+	}
+	return list
 }
 
 type seen struct {
@@ -76,9 +116,9 @@
 }
 
 // New returns a node's part; known tells what it has of the store, others the datagram addresses of other nodes.
-func New(c Config, b *board.Board, known func() Known, others func() map[string]netip.AddrPort, log logr.Logger) *Mesh {
+func New(c Config, b *board.Board, known func() Known, others func() map[string]netip.AddrPort, marks Marks, log logr.Logger) *Mesh {
 	return &Mesh{
-		config: c, board: b, known: known, others: others, log: log, peers: make(map[string]*seen),
+		config: c, board: b, marks: marks, known: known, others: others, log: log, peers: make(map[string]*seen),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 }
@@ -159,6 +199,12 @@
 			Reading: float64(c.GetReading()) * thousand,
 		}
 	}
+	for _, c := range d.GetCrashes() {
+		m.marks.Learn(crash.Mark{
+			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
+			Stamp: c.GetStamp(), Sign: crash.Sign(c.GetSign()), Cleared: c.GetCleared(),
+		})
+	}
 	paces := make(map[uint32]float64, len(d.GetHealth()))
 	for _, h := range d.GetHealth() {
 		paces[h.GetUpstream()] = float64(h.GetPace()) / thousand
@@ -198,7 +244,7 @@
 	k := m.known()
 	d := &wire.Digest{
 		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence, Rules: k.Rules, List: k.List,
-		DataCentre: m.config.DataCentre, Plans: k.Plans,
+		DataCentre: m.config.DataCentre, Plans: k.Plans, Crashes: m.freshMarks(),
 		Address: m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
 	}
 	for tag, c := range m.board.Claims() {
