--- a/core/carry/repeat.go
+++ b/core/carry/repeat.go
@@ -17,6 +17,10 @@
 	errSilent = errors.New("the stream fell silent")
 )
 
+// moreRefusals is how many attempts beyond the route's may be refused as not run: the route bounds how many upstreams
+// may run a request, and a refusal takes milliseconds.
+const moreRefusals = 2
+
 // mayTryOther reports whether the route allows one more attempt after one that may have run.
 func (r *run) mayTryOther() bool {
 	return r.q.Route.Repeatable() && r.ran+1 < r.q.Route.Attempts && time.Until(r.q.Until) > minimumToTry
@@ -36,7 +40,7 @@
 		return nil
 	case reply.Refused:
 		r.arrivals++
-		if r.arrivals >= max(2, r.q.Route.Attempts) {
+		if r.arrivals >= r.q.Route.Attempts+moreRefusals {
 			return r.failure("upstreams refused: "+reply.Reason(o), http.StatusBadGateway)
 		}
 	case reply.Unknown:
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -133,5 +133,5 @@
 	// DataCentre returns the node's own.
 	DataCentre() string
 	// Versions returns those of the configuration and of the list of upstreams, for logs.
-	Versions() (rules, list uint64)
+	Versions() (configuration, list uint64)
 }
