--- a/core/board/board.go
+++ b/core/board/board.go
@@ -376,6 +376,13 @@
 	}
 }
 
+// Others returns what the other nodes together hold on an upstream, as they told last.
+func (b *Board) Others(u *fleet.Upstream) Claim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(KeyOf(u)).others
+}
+
 // Reported notes the pace in an upstream's report to this node.
 func (b *Board) Reported(u *fleet.Upstream, pace float64) {
 	b.mu.Lock()
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -10,8 +10,10 @@
 
 // Times of following the store.
 const (
-	feedWait    = 10 * time.Second        // one long call; each is priced
-	feedPause   = 500 * time.Millisecond  // between calls for topics that change all the time
+	feedWait    = 10 * time.Second        // one long call for the configuration; each is priced
+	listWait    = 25 * time.Second        // the same for the other topics, whose age decides less
+	feedShare   = 3                       // of the bound on draining upstreams, between calls for the list, which changes all the time
+	nodesPause  = 2 * time.Second         // between calls for the nodes: few start at a time but at the system's start
 	retryPause  = 300 * time.Millisecond  // after a call that failed
 	lapseGrace  = 2200 * time.Millisecond // after the store's return until a lapsed entry counts as gone
 	brokenPause = 700 * time.Millisecond  // longest pause between calls that fail
@@ -25,7 +27,7 @@
 		ch := change{topic: t, snapshot: !known}
 		var err error
 		if known {
-			ch.items, ch.version, err = n.platform.Feed.Changes(ctx, t, since, feedWait)
+			ch.items, ch.version, err = n.platform.Feed.Changes(ctx, t, since, waitFor(t))
 		} else {
 			ch.items, ch.version, err = n.platform.Feed.Snapshot(ctx, t)
 		}
@@ -45,13 +47,32 @@
 			case <-ctx.Done():
 			}
 		}
-		if t == store.Upstreams {
-			sleep(ctx, feedPause)
-		}
+		sleep(ctx, n.pauseFor(t))
 	}
 	return nil
 }
 
+// waitFor returns how long one call for a topic's changes lasts.
+func waitFor(t store.Topic) time.Duration {
+	if t == store.Configuration {
+		return feedWait
+	}
+	return listWait
+}
+
+// pauseFor returns the pause between two calls for a topic's changes.
+func (n *Node) pauseFor(t store.Topic) time.Duration {
+	switch t {
+	case store.Configuration:
+		return 0
+	case store.Upstreams:
+		return n.settings.Load().Drain / feedShare
+	case store.Nodes:
+		return nodesPause
+	}
+	panic("entry: a topic without a pause")
+}
+
 // lost notes that a call of the store failed.
 func (n *Node) lost(t store.Topic, err error) {
 	n.storeMu.Lock()
--- a/io/entry/health.go
+++ b/io/entry/health.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"time"
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/io/mesh"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -52,8 +54,8 @@
 	}
 }
 
-// share returns the layered upstreams that this node asks: each goes to one of the live nodes of its data centre, by
-// rendezvous hashing, or of all data centres if its own has none.
+// share returns the layered upstreams of its data centre that this node asks: each goes to one of the live nodes there,
+// by rendezvous hashing. Those of a data centre without nodes are asked by nobody and known by their answers alone.
 func (n *Node) share() []*fleet.Upstream {
 	v := n.view.Load()
 	if v == nil || v.Rules == nil {
@@ -63,7 +65,7 @@
 	var mine []*fleet.Upstream
 	for _, s := range v.Rules.Engines() {
 		for _, u := range v.List.Of(s.Name) {
-			if !u.Draining && isFirst(n.config.Node, n.config.DataCentre, live, u) {
+			if !u.Draining && u.DataCentre == n.config.DataCentre && isFirst(mesh.NameTag(n.config.Node), live, u) {
 				mine = append(mine, u)
 			}
 		}
@@ -71,22 +73,20 @@
 	return mine
 }
 
-// isFirst reports whether a node comes first for an upstream among itself and other live nodes, by data centre.
-func isFirst(node, centre string, live map[string]string, u *fleet.Upstream) bool {
-	own := centre == u.DataCentre
+// isFirst reports whether a node comes first for an upstream among itself and other live nodes.
+func isFirst(node uint32, live []uint32, u *fleet.Upstream) bool {
 	tag := board.KeyOf(u).Tag()
-	for name, c := range live {
-		other := c == u.DataCentre
-		if other && !own || other == own && weight(name, tag) > weight(node, tag) {
+	for _, other := range live {
+		if weight(other, tag) > weight(node, tag) {
 			return false
 		}
 	}
 	return true
 }
 
-func weight(node string, tag uint32) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(uint64(tag))
-	_, _ = d.WriteString(node)
-	return d.Sum64()
+func weight(node, upstream uint32) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint32(b[:4], node)
+	binary.LittleEndian.PutUint32(b[4:], upstream)
+	return xxhash.Sum64(b[:])
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -125,8 +124,8 @@
 	return k
 }
 
-// others returns the datagram addresses of the other nodes.
-func (n *Node) others() map[string]netip.AddrPort {
+// others returns the other nodes.
+func (n *Node) others() map[string]mesh.Node {
 	if v := n.view.Load(); v != nil {
 		return v.Nodes
 	}
@@ -295,7 +294,7 @@
 
 // announce writes this node's row until the store has it.
 func (n *Node) announce(ctx context.Context) error {
-	raw, err := json.Marshal(nodeRow{Address: n.config.Datagrams})
+	raw, err := json.Marshal(nodeRow{Address: n.config.Datagrams, DataCentre: n.config.DataCentre})
 	if err != nil {
 		return err
 	}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -10,6 +10,7 @@
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
+	"rhubarbspread/io/mesh"
 )
 
 // View is what traffic reads; it is never changed once published.
@@ -17,8 +18,8 @@
 	Rules *rules.Rules // nil before the first configuration
 	Raw   []byte       // of the configuration, for other nodes
 	List  *fleet.List
-	Items []store.Item              // entries of the list, for other nodes
-	Nodes map[string]netip.AddrPort // datagram addresses of the other nodes
+	Items []store.Item         // entries of the list, for other nodes
+	Nodes map[string]mesh.Node // the other nodes
 }
 
 // change is news for the control goroutine.
@@ -38,13 +39,13 @@
 	version  uint64
 	rules    *rules.Rules
 	raw      []byte
-	nodes    map[string]netip.AddrPort
+	nodes    map[string]mesh.Node
 }
 
 func newControl(n *Node) *control {
 	return &control{
 		node: n, upstream: make(map[string]*fleet.Upstream), raws: make(map[string][]byte), gone: make(map[string]time.Time),
-		nodes: make(map[string]netip.AddrPort),
+		nodes: make(map[string]mesh.Node),
 	}
 }
 
@@ -181,7 +182,8 @@
 
 // nodeRow is what a node writes of itself.
 type nodeRow struct {
-	Address string `json:"address"` // for datagrams
+	Address    string `json:"address"` // for datagrams
+	DataCentre string `json:"data-centre"`
 }
 
 func (c *control) meet(it store.Item) {
@@ -199,11 +201,11 @@
 		c.node.log.Info("node-unreadable", "node", it.Key, "cause", err.Error())
 		return
 	}
-	c.nodes[it.Key] = address
+	c.nodes[it.Key] = mesh.Node{Address: address, DataCentre: row.DataCentre}
 }
 
 func (c *control) publish() {
-	v := &View{Rules: c.rules, Raw: c.raw, Nodes: make(map[string]netip.AddrPort, len(c.nodes))}
+	v := &View{Rules: c.rules, Raw: c.raw, Nodes: make(map[string]mesh.Node, len(c.nodes))}
 	list := make([]*fleet.Upstream, 0, len(c.upstream))
 	for _, u := range c.upstream {
 		list = append(list, u)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -23,9 +23,7 @@
 
 // Constants of the mesh.
 const (
-	period       = 150 * time.Millisecond // between datagrams to each node, while there are few nodes
-	perSecond    = 60                     // datagrams a second that a node sends at most, with many nodes
-	mostDatagram = 1400                   // bytes, so that a datagram is one packet
+	period       = 150 * time.Millisecond // between datagrams to one node
 	questionTime = 800 * time.Millisecond
 	thousand     = 1000
 )
@@ -55,6 +53,12 @@
 	Plans      bool // it holds the lease
 }
 
+// Node is where another node is.
+type Node struct {
+	Address    netip.AddrPort // for datagrams
+	DataCentre string
+}
+
 // Config says who a node is in the mesh.
 type Config struct {
 	Node       string
@@ -68,7 +72,7 @@
 	config      Config
 	board       *board.Board
 	known       func() Known
-	others      func() map[string]netip.AddrPort
+	others      func() map[string]Node
 	log         logr.Logger
 	incarnation uint64
 
@@ -113,10 +117,13 @@
 	Peer
 	incarnation uint64
 	sequence    uint32
+	digest      *wire.Digest // the latest of any scope
+	own         *wire.Digest // the latest of the node alone
+	ownAt       time.Time
 }
 
 // New returns a node's part; known tells what it has of the store, others the datagram addresses of other nodes.
-func New(c Config, b *board.Board, known func() Known, others func() map[string]netip.AddrPort, marks Marks, log logr.Logger) *Mesh {
+func New(c Config, b *board.Board, known func() Known, others func() map[string]Node, marks Marks, log logr.Logger) *Mesh {
 	return &Mesh{
 		config: c, board: b, marks: marks, known: known, others: others, log: log, peers: make(map[string]*seen),
 		incarnation: uint64(time.Now().UnixNano()),
@@ -185,55 +192,73 @@
 		s = &seen{}
 		m.peers[d.GetNode()] = s
 	}
-	if d.GetIncarnation() < s.incarnation || d.GetIncarnation() == s.incarnation && d.GetSequence() <= s.sequence {
+	// A relay sends its own digest and sums with one sequence.
+	isOld := d.GetIncarnation() == s.incarnation && (d.GetSequence() < s.sequence || d.GetSequence() == s.sequence && d.GetScope() == s.digest.GetScope())
+	if d.GetIncarnation() < s.incarnation || isOld {
 		m.mu.Unlock()
 		return
 	}
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
 	s.Peer = Peer{d.GetNode(), d.GetDataCentre(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now(), d.GetPlans()}
+	s.digest = d
+	if d.GetScope() == wire.Scope_NODE {
+		s.own, s.ownAt = d, time.Now()
+	}
 	m.mu.Unlock()
-	claims := make(map[uint32]board.Claim, len(d.GetClaims()))
-	for _, c := range d.GetClaims() {
-		claims[c.GetUpstream()] = board.Claim{
-			Held: float64(c.GetHeld()) * thousand, Running: int(c.GetRunning()), First: int(c.GetFirst()),
-			Reading: float64(c.GetReading()) * thousand,
-		}
+	m.learn(d)
+	if d.GetScope() == wire.Scope_NODE && m.isRelayed() {
+		return // a relay adds it up
+	}
+	if d.GetScope() != wire.Scope_DATA_CENTRE {
+		m.board.Hear(newsOf(d))
 	}
+}
+
+// learn takes over the marks of a datagram.
+func (m *Mesh) learn(d *wire.Digest) {
 	for _, c := range d.GetCrashes() {
 		m.marks.Learn(crash.Mark{
 			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
 			Stamp: c.GetStamp(), Sign: crash.Sign(c.GetSign()), Cleared: c.GetCleared(),
 		})
 	}
+}
+
+// newsOf returns what a datagram says of upstreams.
+func newsOf(d *wire.Digest) board.News {
+	claims := make(map[uint32]board.Claim, len(d.GetClaims()))
+	for _, c := range d.GetClaims() {
+		claims[c.GetUpstream()] = board.Claim{
+			Held: float64(c.GetHeld()) * thousand, Running: int(c.GetRunning()), First: int(c.GetFirst()),
+			Reading: float64(c.GetReading()) * thousand,
+		}
+	}
 	paces := make(map[uint32]float64, len(d.GetHealth()))
 	for _, h := range d.GetHealth() {
 		paces[h.GetUpstream()] = float64(h.GetPace()) / thousand
 	}
-	m.board.Hear(board.News{
-		Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Resting: d.GetResting(), Paces: paces,
-	})
+	n := board.News{Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Resting: d.GetResting(), Paces: paces}
+	if d.GetScope() == wire.Scope_OTHERS {
+		n.Node, n.DataCentre = everybody, "" // from whichever relay told last
+	}
+	return n
 }
 
-// send tells the other nodes what this one holds, in turn over a period.
+// send tells what this node holds, once a period.
 func (m *Mesh) send(ctx context.Context, conn *net.UDPConn) error {
 	sequence := uint32(0)
 	for ctx.Err() == nil {
-		others := m.others()
-		wait := max(period, time.Duration(len(others))*time.Second/perSecond)
 		sequence++
-		raw, err := proto.Marshal(m.digest(sequence))
-		if err != nil {
-			return err
-		}
-		if len(raw) > mostDatagram {
-			m.log.V(1).Info("datagram-large", "bytes", len(raw))
-		}
-		for _, a := range others {
+		for _, out := range m.plan(m.digest(sequence), m.others()) {
+			raw, err := proto.Marshal(out.digest)
+			if err != nil {
+				return err
+			}
 			// A datagram that can't be sent is as good as one lost on the way: the next one says all again.
-			_, _ = conn.WriteToUDPAddrPort(raw, a)
+			_, _ = conn.WriteToUDPAddrPort(raw, out.to)
 		}
 		select {
-		case <-time.After(wait):
+		case <-time.After(period):
 		case <-ctx.Done():
 		}
 	}
@@ -278,15 +303,17 @@
 	return best, best.Name != ""
 }
 
-// Live returns the data centres of the other nodes that sent a datagram lately, by name.
-func (m *Mesh) Live() map[string]string {
+// Live returns the hashes of the names of the other live nodes of this node's data centre.
+func (m *Mesh) Live() []uint32 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	live := make(map[string]string, len(m.peers))
+	var live []uint32
 	for _, s := range m.peers {
-		if time.Since(s.At) <= freshTime {
-			live[s.Name] = s.DataCentre
+		if time.Since(s.At) > freshTime || s.DataCentre != m.config.DataCentre {
+			continue
 		}
+		live = append(live, NameTag(s.Name))
+		live = append(live, s.digest.GetMembers()...)
 	}
 	return live
 }
