--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -77,11 +77,9 @@
 
 // Constants of attempts.
 const (
-	patienceShare  = 0.75                   // of a caller's patience that a start may be predicted to take
 	waitForRoom    = 450 * time.Millisecond // longest wait for a place; later answers miss most objectives
 	wholeAnswer    = 1 << 20                // bytes of a plain answer that are held back until it is whole
 	unreachable    = 3                      // attempts that reached nobody, after which a request is refused
-	returnSoon     = 500 * time.Millisecond // shortest time after which a refused caller is asked back
 	minimumToTry   = 5 * time.Millisecond   // no attempt begins with less time than this
 	hangObjective  = 1.0                    // of its objective that an upstream may take before another is tried
 	lowestPriority = 9                      // that an upstream knows
@@ -203,10 +201,19 @@
 		Output:     r.expectedOutput(),
 		Exclude:    slices.Clone(r.exclude),
 		Warm:       r.c.transport.HasConnection,
-		Patience:   time.Duration(patienceShare * float64(patience(r.q.Route))),
+		Patience:   worthAStart(r.q.Route),
 	}
 }
 
+// worthAStart returns the longest predicted time to the first event with which a stream is sent. Under overload a longer
+// queue would make all answers late and waste the reading for callers who leave; those beyond it are told to come back.
+func worthAStart(t *rules.Route) time.Duration {
+	if t.Objective <= 0 {
+		return patience(t)
+	}
+	return t.Objective
+}
+
 // patience returns how long a caller of a stream waits for its next event.
 func patience(t *rules.Route) time.Duration {
 	return max(2*time.Second, 4*t.Objective, 8*t.Pause)
--- a/core/carry/carry_test.go
+++ b/core/carry/carry_test.go
@@ -205,3 +205,25 @@
 		})
 	})
 }
+
+// TestReturnsAreSpread: refused callers come back within a third of their time, and not all at once.
+func TestReturnsAreSpread(t *testing.T) {
+	for _, left := range []time.Duration{600 * time.Millisecond, 2500 * time.Millisecond, 20 * time.Second} {
+		first, last := returnAfter(left, 0), returnAfter(left, 0.999)
+		if first <= 0 || last > left/3 || last < 3*first {
+			t.Errorf("with %v left callers come back after %v to %v", left, first, last)
+		}
+	}
+	if got := returnAfter(-time.Second, 0.5); got != 0 {
+		t.Errorf("a caller without time is asked back after %v", got)
+	}
+}
+
+func TestWorthAStart(t *testing.T) {
+	if got := worthAStart(route(rules.Streaming)); got != 500*time.Millisecond {
+		t.Errorf("a stream is sent up to a predicted %v, want its objective", got)
+	}
+	if got := worthAStart(&rules.Route{}); got != 2*time.Second {
+		t.Errorf("without an objective up to %v, want the caller's patience", got)
+	}
+}
--- a/core/carry/repeat.go
+++ b/core/carry/repeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -86,7 +87,19 @@
 	if r.account.State() != reply.NotRun {
 		return r.failure(cause, http.StatusBadGateway)
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: returnSoon}
+	return &Refusal{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: returnAfter(time.Until(r.q.Until), rand.Float64())}
+}
+
+// Shares of the time that a caller has left after which it is asked back. Callers wait for a third of it at most, and
+// returns that are spread meet a queue that has drained.
+const (
+	returnLeast  = 0.05
+	returnSpread = 0.15
+)
+
+// returnAfter returns when a refused caller is asked back; random is uniform in [0, 1).
+func returnAfter(left time.Duration, random float64) time.Duration {
+	return time.Duration((returnLeast + returnSpread*random) * float64(max(0, left)))
 }
 
 // unsent turns the transport's error into an outcome.
