--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -81,7 +81,6 @@
 	wholeAnswer    = 1 << 20                // bytes of a plain answer that are held back until it is whole
 	unreachable    = 3                      // attempts that reached nobody, after which a request is refused
 	minimumToTry   = 5 * time.Millisecond   // no attempt begins with less time than this
-	hangObjective  = 1.0                    // of its objective that an upstream may take before another is tried
 	lowestPriority = 9                      // that an upstream knows
 )
 
@@ -285,7 +284,7 @@
 func (r *run) whole(ctx context.Context, t *board.Ticket, s *Send) reply.Outcome {
 	if r.mayTryOther() && r.q.Route.Objective > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(hangObjective*float64(r.q.Route.Objective)), errSlow)
+		ctx, cancel = context.WithTimeoutCause(ctx, r.q.Route.Objective, errSlow)
 		defer cancel()
 	}
 	began := time.Now()
--- a/core/carry/repeat.go
+++ b/core/carry/repeat.go
@@ -10,6 +10,7 @@
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/reply"
+	"rhubarbspread/core/rules"
 )
 
 // Reasons for which an attempt is given up.
@@ -50,7 +51,7 @@
 		}
 		r.arrivals++
 		r.ran++
-		if !r.q.Route.Repeatable() || r.ran >= r.q.Route.Attempts || r.begun && r.q.Route.Kind != streaming {
+		if !r.q.Route.Repeatable() || r.ran >= r.q.Route.Attempts || r.begun && r.q.Route.Kind != rules.Streaming {
 			return r.failure(reply.Reason(o), statusOf(o))
 		}
 	}
--- a/core/carry/stream.go
+++ b/core/carry/stream.go
@@ -12,11 +12,8 @@
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/reply"
-	"rhubarbspread/core/rules"
 )
 
-const streaming = rules.Streaming
-
 const eventsBuffer = 4 << 10 // bytes
 
 // stream makes an attempt whose events are passed on one by one.
@@ -64,7 +61,7 @@
 	for {
 		e, err := readEvent(in)
 		if errors.Is(err, io.EOF) {
-			return r.whole200(t, a)
+			return r.complete(t, a)
 		}
 		if err != nil {
 			return r.brokeOff(ctx, t, err)
@@ -96,8 +93,8 @@
 	}
 }
 
-// whole200 ends a stream that came to its end.
-func (r *run) whole200(t *board.Ticket, a *Answer) reply.Outcome {
+// complete ends a stream that came to its end.
+func (r *run) complete(t *board.Ticket, a *Answer) reply.Outcome {
 	r.c.board.Alive(t.Upstream, false, 0)
 	if !r.begun {
 		r.begun = true
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -16,26 +16,22 @@
 type Config struct {
 	Node       string
 	DataCentre string
-	Callers    string // IP:port for callers
-	Ready      string // IP:port for the balancer
-	Control    string // IP:port for other nodes' questions
-	Datagrams  string // IP:port for other nodes' datagrams
-	Seeds      []string
-	Store      string // IP:port
-	Metrics    string // IP:port of the page of figures, or "" for none
+	Callers    string   // IP:port for callers
+	Ready      string   // IP:port for the balancer
+	Control    string   // IP:port for other nodes' questions
+	Datagrams  string   // IP:port for other nodes' datagrams
+	Seeds      []string // addresses for questions of a few nodes, which may be gone
+	Store      string   // IP:port
+	Metrics    string   // IP:port of the page of figures, or "" for none
 
 	MemoryMB int
-	Files    int // descriptors
 
 	Heartbeat   time.Duration // between an upstream's entries
-	Stability   time.Duration // without a disturbance after which bounds hold
 	Drain       time.Duration // until a draining upstream gets nothing new
 	Grace       time.Duration // from SIGTERM to SIGKILL
-	ConfigApply time.Duration // until a configuration is in force
 	RetryShare  float64       // repeats per first attempt, of all nodes together
 	RetryExtra  float64       // repeats beyond these in a window, of all nodes together
 	RetryWindow time.Duration
-	Stall       time.Duration // after which an upstream gives up a path with a silent part
 }
 
 // Wire reads and writes headers.
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"rhubarbspread/core/store"
@@ -127,6 +128,10 @@
 		sleep(ctx, askPause)
 		k := n.known()
 		peer, ok := n.mesh.Ahead(k.Rules, k.List)
+		if !ok && k.Rules == 0 && n.isLost() && len(n.config.Seeds) > 0 {
+			seed := n.config.Seeds[rand.IntN(len(n.config.Seeds))]
+			peer, ok = mesh.Peer{Name: "seed", Questions: seed, Rules: 1}, true
+		}
 		if !ok {
 			behind = time.Time{}
 			continue
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -60,6 +60,9 @@
 	if v == nil || v.Rules == nil {
 		return nil, &carry.Refusal{Status: http.StatusServiceUnavailable, Cause: "no configuration yet", RetryAfter: comeBack}
 	}
+	if most := v.Rules.Limits().HeaderBytes; most > 0 && headerBytes(r) > most {
+		return nil, &carry.Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Cause: "the headers are too large"}
+	}
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
@@ -90,6 +93,17 @@
 	return q, refusal
 }
 
+// headerBytes returns the size of a request's line and headers as they came, by and large.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // patience returns how long a request may take.
 func patience(route *rules.Route, deadline time.Duration) time.Duration {
 	d := noDeadline
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -61,6 +61,7 @@
 	stopping atomic.Bool
 	active   atomic.Int64
 	conns    atomic.Int64
+	idle     sync.Map // since when a caller's net.Conn is idle, a time.Time
 	stats    *stats.Set
 
 	storeMu   sync.Mutex
@@ -235,16 +236,33 @@
 	}
 }
 
-// count keeps the number of callers' connections.
-func (n *Node) count(_ net.Conn, s http.ConnState) {
+// count keeps the number of callers' connections, and since when each is idle.
+func (n *Node) count(c net.Conn, s http.ConnState) {
+	n.idle.Delete(c)
 	switch s {
 	case http.StateNew:
 		n.conns.Add(1)
+	case http.StateIdle:
+		n.idle.Store(c, time.Now())
 	case http.StateClosed, http.StateHijacked:
 		n.conns.Add(-1)
 	}
 }
 
+// closeIdle closes callers' connections that have been idle for longer than the configuration allows.
+func (n *Node) closeIdle(limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	n.idle.Range(func(key, since any) bool {
+		if c, ok := key.(net.Conn); ok && time.Since(since.(time.Time)) > limit {
+			n.idle.Delete(c)
+			_ = c.Close()
+		}
+		return true
+	})
+}
+
 func (n *Node) readyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != n.platform.ReadyPath {
@@ -341,6 +359,9 @@
 	for ctx.Err() == nil {
 		sleep(ctx, sweepPause)
 		v := n.view.Load()
+		if v != nil && v.Rules != nil {
+			n.closeIdle(v.Rules.Limits().Idle)
+		}
 		n.pool.Sweep(func(t hop.Target) bool {
 			if v == nil {
 				return true
