--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -141,15 +141,11 @@
 func (w *watch) stalled(u *fleet.Upstream) {
 	r, t := w.run, w.ticket
 	rest := r.c.board.Strike(u)
-	if time.Since(w.changed) < reportLag {
+	if !w.mayChange() {
 		w.again() // the report may be older than the change of path
 		return
 	}
-	w.changed = time.Now()
 	before := board.Describe(t.Hops())
-	w.mu.Lock()
-	w.isChanged = true // new parts read all tokens, for which the caller had better wait
-	w.mu.Unlock()
 	if err := r.bypass(w.ctx, t, u); err != nil {
 		r.c.log.Info("path-kept", "request", r.q.ID, "failed", u.ID, "path", before, "cause", err.Error(), "rest-ms", rest.Milliseconds())
 		if r.mayTryOther() {
@@ -165,6 +161,18 @@
 	w.again()
 }
 
+// mayChange reports whether the path may be changed now, and notes that it is: new parts read all tokens, for which the
+// caller had better wait.
+func (w *watch) mayChange() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.changed) < reportLag {
+		return false
+	}
+	w.changed, w.isChanged = time.Now(), true
+	return true
+}
+
 // bypassTries is how many ways round a failed part are tried: one may lead to another part that is lost as well.
 const bypassTries = 3
 
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rhubarbspread/core/fleet"
@@ -92,3 +95,31 @@
 		}
 	}
 }
+
+// TestIdleConnectionsAreClosed: those idle for longer than the configuration allows, and no others.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Node{}
+		old, oldEnd := net.Pipe()
+		busy, busyEnd := net.Pipe()
+		defer busy.Close()
+		defer busyEnd.Close()
+		n.count(old, http.StateIdle)
+		n.count(busy, http.StateIdle)
+		n.count(busy, http.StateActive)
+		time.Sleep(4 * time.Second)
+		n.closeIdle(5 * time.Second)
+		n.closeIdle(0)
+		time.Sleep(2 * time.Second)
+		n.closeIdle(5 * time.Second)
+		if _, err := oldEnd.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the idle connection: %v, want it closed", err)
+		}
+		if err := busyEnd.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := busyEnd.Read(make([]byte, 1)); err == io.EOF {
+			t.Error("a connection with a request was closed")
+		}
+	})
+}
