Stream from services without layers as well, and decide by no figure that a configuration leaves out

Found on reading: a slow stream of a plain service ended the process (its look for another upstream asked for an engine). Tests fail first: a nil pointer, and no path where rates or pipes are not told.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -306,6 +306,21 @@
 	}
 }
 
+// TestEngineThatTellsLittle: figures that a configuration leaves out decide nothing, and paths are found all the same.
+func TestEngineThatTellsLittle(t *testing.T) {
+	b := newBoard(newClock(), 1)
+	n := need()
+	n.Engine = &rules.Engine{Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Stride: 1, Chunk: 1, Kinds: engine().Kinds}
+	n.Patience = time.Second
+	list := pair()
+	list[1].DataCentre, list[2].DataCentre = "b", "b"
+	tk := b.Path(list, n)
+	if tk == nil {
+		t.Fatal("no path")
+	}
+	checkPath(t, tk.Hops(), 80)
+}
+
 // TestBypassKeepsTheOtherParts: the memory of the parts that stay is kept, so that they must stay as they are.
 func TestBypassKeepsTheOtherParts(t *testing.T) {
 	c := newClock()
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -343,7 +343,10 @@
 	pass = e.Pass(c.card, layers.Len(), c.writers+1, context)
 	if centre != "" && centre != c.upstream.DataCentre {
 		pass += time.Duration(e.Stride) * e.Delay
-		reading += float64(e.Delay) + n.Prompt*e.ActivationBytes*bitsPerByte/(e.Pipe*bitsPerMegabit)*second
+		reading += float64(e.Delay)
+		if e.Pipe > 0 {
+			reading += n.Prompt * e.ActivationBytes * bitsPerByte / (e.Pipe * bitsPerMegabit) * second
+		}
 	}
 	return time.Duration(reading) + pass, pass
 }
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -173,7 +173,7 @@
 	defer until.Stop()
 	for {
 		freed := r.c.board.Freed()
-		if t := r.pick(); t != nil {
+		if t := r.pick(r.excluded()); t != nil {
 			return t, nil
 		}
 		select {
@@ -186,22 +186,23 @@
 	}
 }
 
-func (r *run) pick() *board.Ticket {
+// pick reserves an upstream or a path that leaves some upstreams out, or returns nil.
+func (r *run) pick(exclude []string) *board.Ticket {
 	list := r.c.world.Upstreams(r.q.Service.Name)
 	if r.q.Service.Engine == nil {
-		return r.c.board.Plain(list, r.excluded())
+		return r.c.board.Plain(list, exclude)
 	}
-	return r.c.board.Path(list, r.need())
+	return r.c.board.Path(list, r.need(exclude))
 }
 
 // need returns what a generation still asks of a path.
-func (r *run) need() *board.Need {
+func (r *run) need(exclude []string) *board.Need {
 	return &board.Need{
 		Engine:     r.q.Service.Engine,
 		DataCentre: r.c.world.DataCentre(),
 		Prompt:     float64(r.q.Prompt),
 		Output:     r.expectedOutput(),
-		Exclude:    r.excluded(),
+		Exclude:    exclude,
 		Warm:       r.c.transport.HasConnection,
 		Patience:   worthAStart(r.q.Route),
 	}
--- a/core/carry/stream_test.go
+++ b/core/carry/stream_test.go
@@ -205,6 +205,24 @@
 	})
 }
 
+// TestStreamOfAPlainService: services whose upstreams hold no layers stream as well, and go on elsewhere.
+func TestStreamOfAPlainService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: plainUpstreams(2), repeats: 9}
+		w.answer = func(_ *Send, n int) (*Answer, error) {
+			if n == 1 {
+				return ok("1", silentAfter(3)), nil
+			}
+			return ok("2", &script{steps: eventsFrom(4, 8, 20*time.Millisecond)}), nil
+		}
+		var c caller
+		if err := w.carrier().Run(t.Context(), request(route(rules.Streaming), nil), &c); err != nil {
+			t.Fatal(err)
+		}
+		checkEvents(t, c.body.String(), 0, 8)
+	})
+}
+
 func TestReadEvent(t *testing.T) {
 	tests := []struct {
 		name, in string
--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -182,7 +182,7 @@
 	defer cancel()
 	failed := []string{u.ID}
 	for range bypassTries {
-		before, ok := t.Bypass(r.c.world.Upstreams(r.q.Service.Name), r.need(), failed)
+		before, ok := t.Bypass(r.c.world.Upstreams(r.q.Service.Name), r.need(r.excluded()), failed)
 		if !ok {
 			return errNoWay
 		}
@@ -243,9 +243,7 @@
 
 // hasOther reports whether another path than a ticket's has room now.
 func (r *run) hasOther(t *board.Ticket) bool {
-	need := r.need()
-	need.Exclude = append(need.Exclude, t.Upstream.ID)
-	other := r.c.board.Path(r.c.world.Upstreams(r.q.Service.Name), need)
+	other := r.pick(append(r.excluded(), t.Upstream.ID))
 	if other == nil {
 		return false
 	}
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -1,6 +1,9 @@
 package rules
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Engine is what the configuration says of a service's model engines and of the cards that they run on.
 type Engine struct {
@@ -52,6 +55,9 @@
 // ReadRate returns how many prompt tokens a second a card reads through a number of layers, between the passes of
 // requests that write.
 func (e *Engine) ReadRate(c Card, layers int, writers, context float64) float64 {
+	if e.ReadPerSecond <= 0 {
+		return math.MaxFloat64 // not told: reading decides nothing
+	}
 	chunk := e.Chunk / e.ReadPerSecond * c.Read * e.part(layers)
 	pass := 0.0
 	if writers >= 1 {
