Choose plain upstreams by the load they tell as well; log a duty's failure; serve callers without the page of figures

Found on reading: a duty that failed at its start (a port in use) ended without a line; the load in upstreams' answers was read and not used.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -49,6 +49,8 @@
 	centre    string
 	errors    float64 // share of its latest answers that failed, decayed
 	took      float64 // mean time of a plain answer, ms, decayed
+	told      int     // requests that it said it has, at toldAt
+	toldAt    time.Time
 }
 
 // Claim is what nodes hold on one upstream.
@@ -179,6 +181,7 @@
 	errorDecay = 0.2                     // weight of the latest answer in the share of failures
 	claimLife  = 2 * time.Second         // after which another node's claims no longer count
 	paceLife   = 2500 * time.Millisecond // after which a report no longer counts
+	toldLife   = 200 * time.Millisecond  // for which what an upstream told of its load counts
 	doublings  = 4                       // of a rest
 )
 
@@ -261,6 +264,14 @@
 	}
 }
 
+// Told notes how many requests an upstream says it has.
+func (b *Board) Told(u *fleet.Upstream, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(KeyOf(u))
+	s.told, s.toldAt = requests, b.now()
+}
+
 // lives notes a sign of life.
 func (b *Board) lives(u *fleet.Upstream) {
 	delete(b.cuts, u.DataCentre)
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -368,3 +368,20 @@
 		t.Errorf("%s is picked though it is excluded or leaves", tk.Upstream.ID)
 	}
 }
+
+// TestToldLoadCounts: an upstream that says it is busy with others' requests is passed over for a while.
+func TestToldLoadCounts(t *testing.T) {
+	c := newClock()
+	b := newBoard(c, 1)
+	list := []*fleet.Upstream{{ID: "p", Slots: 6}, {ID: "q", Slots: 6}}
+	b.Told(list[0], 9)
+	for range 4 {
+		if got := b.Plain(list, nil).Upstream.ID; got != "q" {
+			t.Errorf("%s is picked though it told of nine requests", got)
+		}
+	}
+	c.sleep(toldLife)
+	if got := b.Plain(list, nil).Upstream.ID; got != "p" {
+		t.Errorf("%s is picked, though what the other told is old", got)
+	}
+}
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -60,6 +60,9 @@
 			continue
 		}
 		running := float64(s.first + s.others.First)
+		if now.Sub(s.toldAt) < toldLife {
+			running = max(running, float64(s.told-1)) // the answer's own request has ended
+		}
 		if running >= float64(u.Slots+queueSlack) {
 			continue
 		}
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -307,6 +307,9 @@
 		return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
 	}
 	r.c.board.Alive(t.Upstream, a.Status >= http.StatusInternalServerError, time.Since(began))
+	if a.Load != nil {
+		r.c.board.Told(t.Upstream, a.Load.Running+a.Load.Waiting)
+	}
 	if a.Status >= http.StatusInternalServerError && r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
 		r.excludeOne(t.Upstream.ID)
 		r.paid.Store(true)
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -194,15 +194,8 @@
 	}
 	served := make(chan error, 3)
 	go func() { served <- door.Serve(callers) }()
-	if n.config.Metrics != "" {
-		metrics, err := net.Listen("tcp", n.config.Metrics)
-		if err != nil {
-			return errors.Join(err, callers.Close(), ready.Close())
-		}
-		page := &http.Server{Handler: n.stats.Text(), ReadHeaderTimeout: headerTime}
-		go func() { served <- page.Serve(metrics) }()
-		defer page.Close()
-	}
+	endFigures := n.serveFigures(served)
+	defer endFigures()
 	readiness := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime}
 	go func() { served <- readiness.Serve(ready) }()
 	select {
@@ -220,6 +213,22 @@
 	return err
 }
 
+// serveFigures serves the page of figures and returns what ends it. Without its port the node serves callers all the
+// same.
+func (n *Node) serveFigures(served chan<- error) func() {
+	if n.config.Metrics == "" {
+		return func() {}
+	}
+	l, err := net.Listen("tcp", n.config.Metrics)
+	if err != nil {
+		n.log.Error(err, "figures-unavailable", "address", n.config.Metrics)
+		return func() {}
+	}
+	page := &http.Server{Handler: n.stats.Text(), ReadHeaderTimeout: headerTime}
+	go func() { served <- page.Serve(l) }()
+	return func() { _ = page.Close() }
+}
+
 // stop refuses new connections once the balancer knows, lets what is under way end, and closes.
 func (n *Node) stop(door *http.Server) {
 	began := time.Now()
@@ -279,34 +288,41 @@
 
 // duties are the goroutines of a node's life; each reports its end.
 type duties struct {
+	log   logr.Logger
 	count int
 	done  chan error
 }
 
-func (d *duties) start(f func() error) {
+func (d *duties) start(name string, f func() error) {
 	d.count++
-	go func() { d.done <- f() }()
+	go func() {
+		err := f()
+		if err != nil {
+			d.log.Error(err, "duty-failed", "duty", name)
+		}
+		d.done <- err
+	}()
 }
 
 const mostDuties = 16
 
 func (n *Node) duties(ctx context.Context) *duties {
-	d := &duties{done: make(chan error, mostDuties)}
+	d := &duties{log: n.log, done: make(chan error, mostDuties)}
 	changes := make(chan change, mostDuties)
 	c := newControl(n)
-	d.start(func() error { return c.run(ctx, changes) })
+	d.start("control", func() error { return c.run(ctx, changes) })
 	for _, t := range []store.Topic{store.Configuration, store.Upstreams, store.Nodes} {
-		d.start(func() error { return n.follow(ctx, t, changes) })
+		d.start("follow-"+t.String(), func() error { return n.follow(ctx, t, changes) })
 	}
-	d.start(func() error { return n.announce(ctx) })
-	d.start(func() error { return n.mesh.Run(ctx) })
-	d.start(func() error { return n.askAround(ctx, changes) })
-	d.start(func() error { return n.plan(ctx) })
-	d.start(func() error { return n.sweep(ctx) })
-	d.start(func() error { return n.reload(ctx) })
-	d.start(func() error { return n.askUpstreams(ctx) })
+	d.start("announce", func() error { return n.announce(ctx) })
+	d.start("mesh", func() error { return n.mesh.Run(ctx) })
+	d.start("ask-around", func() error { return n.askAround(ctx, changes) })
+	d.start("plan", func() error { return n.plan(ctx) })
+	d.start("sweep", func() error { return n.sweep(ctx) })
+	d.start("reload", func() error { return n.reload(ctx) })
+	d.start("ask-upstreams", func() error { return n.askUpstreams(ctx) })
 	leaseEnd := n.lease.Run(ctx)
-	d.start(func() error { return <-leaseEnd })
+	d.start("lease", func() error { return <-leaseEnd })
 	return d
 }
 
--- a/io/hop/conn.go
+++ b/io/hop/conn.go
@@ -23,12 +23,10 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	target  Target
-	idle    time.Time // since when it waits for a request
-	keep    time.Duration
-	used    bool
-	counter func()
+	reader *bufio.Reader
+	target Target
+	idle   time.Time // since when it waits for a request
+	keep   time.Duration
 }
 
 // Dialer returns a dialer whose connections break soon after the other end is out of reach.
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -274,7 +274,6 @@
 			return
 		}
 		x.conn.keep = keep
-		x.conn.used = true
 		x.pool.put(x.conn)
 	})
 }
