--- a/core/board/board.go
+++ b/core/board/board.go
@@ -76,7 +76,6 @@
 	freed  chan struct{} // closed and replaced when room may have come free
 	centre string        // the node's own data centre
 	cuts   map[string]*cut
-	nodes  int
 }
 
 // News is what another node tells of upstreams, by their tags.
@@ -117,7 +116,6 @@
 		peers:  make(map[string]heard),
 		freed:  make(chan struct{}),
 		cuts:   make(map[string]*cut),
-		nodes:  1,
 	}
 	for _, o := range opts {
 		o(b)
@@ -125,13 +123,6 @@
 	return b
 }
 
-// SetNodes tells how many nodes share the upstreams' connections.
-func (b *Board) SetNodes(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.nodes = max(1, n)
-}
-
 // Keep forgets upstreams that are gone and wakes what waits for room.
 func (b *Board) Keep(list *fleet.List) {
 	b.mu.Lock()
--- a/core/carry/carry_test.go
+++ b/core/carry/carry_test.go
@@ -19,7 +19,7 @@
 	reset := NewSendError(true, errors.New("connection reset"))
 	refusedDial := NewSendError(false, errors.New("connection refused"))
 	sealed500 := func() *Answer {
-		return &Answer{Verdict: Verdict{Ours: true, Sealed: true}, Status: 500, Body: plainBody("bad")}
+		return &Answer{Verdict: Verdict{Sealed: true}, Status: 500, Body: plainBody("bad")}
 	}
 	tests := []struct {
 		name    string
@@ -47,7 +47,7 @@
 		{"no budget after a reset", rules.Idempotent, 0, []any{reset}, 502, 1, false},
 		{
 			"success without a seal is none", rules.NonIdempotent, 9,
-			[]any{&Answer{Verdict: Verdict{Ours: true}, Status: 200, Body: plainBody("garbage")}}, 502, 1, false,
+			[]any{&Answer{Verdict: Verdict{}, Status: 200, Body: plainBody("garbage")}}, 502, 1, false,
 		},
 		{
 			"another request's answer", rules.Idempotent, 9,
--- a/core/carry/fake_test.go
+++ b/core/carry/fake_test.go
@@ -160,14 +160,14 @@
 
 func ok(seal string, body io.ReadCloser) *Answer {
 	return &Answer{
-		Verdict: Verdict{Ours: true, Sealed: true}, Status: http.StatusOK, Header: http.Header{"Seal": {seal}}, Body: body,
+		Verdict: Verdict{Sealed: true}, Status: http.StatusOK, Header: http.Header{"Seal": {seal}}, Body: body,
 	}
 }
 
 func plainBody(s string) io.ReadCloser { return &script{steps: []piece{{text: s}}} }
 
 func notRun(culprit string) *Answer {
-	return &Answer{Verdict: Verdict{Ours: true, NotRun: true, Culprit: culprit}, Status: http.StatusServiceUnavailable, Body: plainBody("")}
+	return &Answer{Verdict: Verdict{NotRun: true, Culprit: culprit}, Status: http.StatusServiceUnavailable, Body: plainBody("")}
 }
 
 func plainUpstreams(n int) []*fleet.Upstream {
--- a/core/carry/types.go
+++ b/core/carry/types.go
@@ -61,10 +61,8 @@
 
 // Verdict is what an upstream's headers say of an answer.
 type Verdict struct {
-	Ours    bool   // it bears the attempt's ID
 	Foreign bool   // it bears another ID
 	NotRun  bool   // the upstream did not run the request and never will
-	Moved   bool   // the upstream is not the one that was meant, or does not hold the layers
 	Sealed  bool   // it bears the upstream's seal
 	Culprit string // address of the part at fault, or ""
 	Load    *Load  // or nil
--- a/core/place/planner_test.go
+++ b/core/place/planner_test.go
@@ -50,7 +50,7 @@
 		return Report{}, errLost
 	}
 	b := y.by[u.ID]
-	return Report{Sequence: b.sequence, Layers: b.layers, Born: b.born}, nil
+	return Report{Sequence: b.sequence, Layers: b.layers}, nil
 }
 
 func (y *yard) Place(_ context.Context, u *fleet.Upstream, o Order) (Result, error) {
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -10,10 +10,7 @@
 type Report struct {
 	Busy     bool // an order is under way
 	Sequence uint64
-	Born     int64
 	Layers   fleet.Range
-	Used     float64           // tokens x layers that can't yield
-	Total    float64           // tokens x layers
 	Pace     float64           // above 1 is slow
 	Stalled  map[string]string // address of the part that is waited for, by request
 }
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -7,7 +7,6 @@
 
 // Engine is what the configuration says of a service's model engines and of the cards that they run on.
 type Engine struct {
-	Model           string
 	Layers          int
 	LayerMB         float64       // memory of one layer's weights
 	TokenBytes      float64       // memory of one token over all layers
@@ -21,10 +20,8 @@
 	Chunk           float64       // prompt tokens that a pass reads at most
 	Load            time.Duration // of all layers' weights
 	Loads           int           // loads at a time that do not slow each other
-	Link            float64       // megabits a second from an upstream
 	Pipe            float64       // megabits a second between two data centres, which all share
 	Delay           time.Duration // one way between data centres
-	Slots           int           // requests that an upstream takes as the first of a path
 	Prompt          float64       // mean tokens
 	Answer          float64       // mean tokens
 	Kinds           map[string]Card
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -216,7 +216,6 @@
 		v.Nodes[name] = a
 	}
 	c.node.view.Store(v)
-	c.node.board.SetNodes(len(c.nodes) + 1)
 	c.node.board.Keep(v.List)
 	c.node.budget.SetNodes(len(c.nodes) + 1)
 }
