--- a/core/board/path.go
+++ b/core/board/path.go
@@ -30,7 +30,6 @@
 	roomReserve  = 0.97                  // share of an upstream's room that may be reserved
 	scarcity     = 60 * time.Millisecond // cost of a part on an upstream without room left, for all layers
 	crowding     = 2 * time.Millisecond  // cost of each request that would be lost with a part, for all layers
-	writingShare = 1.0                   // of the time for writing that counts: callers wait for the first event most
 	variance     = 0.1                   // random part of a cost, so that nodes that know the same choose differently
 	crossing     = 30 * time.Millisecond // cost of a path's step to another data centre, which a cut would break
 	coldFirst    = 5 * time.Millisecond  // cost of a first part to which no connection is kept
@@ -325,7 +324,7 @@
 		price += float64(crossing)
 	}
 	passes := n.Output / float64(n.Engine.Stride)
-	return c.chance * (float64(read) + writingShare*passes*float64(pass) + price) / float64(time.Millisecond), true
+	return c.chance * (float64(read) + passes*float64(pass) + price) / float64(time.Millisecond), true
 }
 
 // perPairs is the unit of an engine's Pairs.
--- a/core/carry/stream.go
+++ b/core/carry/stream.go
@@ -38,9 +38,13 @@
 func (r *run) failed(t *board.Ticket, a *Answer) reply.Outcome {
 	r.c.board.Alive(t.Upstream, true, 0)
 	r.excludeOne(t.Upstream.ID)
-	if r.begun || r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
+	outcome := reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+	if r.begun {
+		return outcome
+	}
+	if r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
 		r.paid.Store(true)
-		return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+		return outcome
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswer))
 	if err != nil {
--- a/core/carry/stream_test.go
+++ b/core/carry/stream_test.go
@@ -43,6 +43,25 @@
 	})
 }
 
+// TestFailedResumptionIsPaidFor: an upstream's failure while a stream is resumed takes from the budget like any repeat.
+func TestFailedResumptionIsPaidFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{list: layered(), repeats: 1}
+		w.answer = func(_ *Send, n int) (*Answer, error) {
+			if n == 1 {
+				return ok("1", &script{steps: append(eventsFrom(0, 2, 0), piece{err: io.ErrUnexpectedEOF})}), nil
+			}
+			return &Answer{Verdict: Verdict{Sealed: true}, Status: 500, Body: plainBody("bad")}, nil
+		}
+		r := route(rules.Streaming)
+		r.Attempts = 9
+		err := w.carrier().Run(t.Context(), request(r, model()), &caller{})
+		if !errors.Is(err, ErrBroken) || len(w.sends) != 2 {
+			t.Errorf("%v after %d attempts, want a broken stream after two with a budget of one repeat", err, len(w.sends))
+		}
+	})
+}
+
 func TestGapIsNeverPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{list: layered(), repeats: 9}
