--- a/core/carry/stream_test.go
+++ b/core/carry/stream_test.go
@@ -47,6 +47,11 @@
 func TestFailedResumptionIsPaidFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{list: layered(), repeats: 1}
+		for _, id := range []string{"m4", "m5"} {
+			more := *w.list[0]
+			more.ID = id
+			w.list = append(w.list, &more)
+		}
 		w.answer = func(_ *Send, n int) (*Answer, error) {
 			if n == 1 {
 				return ok("1", &script{steps: append(eventsFrom(0, 2, 0), piece{err: io.ErrUnexpectedEOF})}), nil
