--- a/io/trial/recovery_test.go
+++ b/io/trial/recovery_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"rhubarbspread/core/event"
 	"rhubarbspread/io/fake"
 )
 
@@ -205,6 +207,7 @@
 		s, poison.offered, lost, quarantined, innocent, poison.notRun, poison.mayRun, res.answered, res.offered)
 	if lost > upstreamsLost {
 		t.Errorf("%d upstreams lost, wanted at most %d", lost, upstreamsLost)
+		f.logPoison(t)
 	}
 	if quarantined != len(f.nodes) || innocent > 0 {
 		t.Errorf("quarantined on %d of %d nodes, with %d innocent requests", quarantined, len(f.nodes), innocent)
@@ -218,6 +221,19 @@
 	}
 }
 
+// logPoison prints what became of the poisonous request's copies at upstreams, over all nodes.
+func (f *fleet) logPoison(t *testing.T) {
+	t.Helper()
+	var story []event.Event
+	for _, n := range f.nodes {
+		story = append(story, n.ring.Select(event.Filter{Request: "poison"})...)
+	}
+	slices.SortFunc(story, func(a, b event.Event) int { return cmp.Compare(a.Stamp, b.Stamp) })
+	for _, e := range story {
+		t.Logf("%v %s %s %s %s %s", e.Stamp.Wall(), e.Node, e.Kind, e.Attempt, e.Upstream, e.Note)
+	}
+}
+
 func TestLeavingGetsNoNewWork(t *testing.T) {
 	const target = 2 * time.Second
 	synctest.Test(t, func(t *testing.T) {
