--- a/core/board/path.go
+++ b/core/board/path.go
@@ -350,6 +350,12 @@
 	return time.Duration(reading) + pass, pass
 }
 
+// readBetween returns how long a part reads prompts between two of its passes.
+func (c *candidate) readBetween(e *rules.Engine, layers fleet.Range) time.Duration {
+	waiting := c.reading / float64(max(1, c.upstream.Layers.Len()))
+	return e.Read(c.card, layers.Len(), min(waiting, e.Chunk*float64(e.Stride)))
+}
+
 const (
 	bitsPerByte    = 8
 	bitsPerMegabit = 1e6
@@ -367,7 +373,7 @@
 		}
 		read, pass := c.times(n, h.Layers, centre)
 		e.First += read
-		e.Pause += pass
+		e.Pause += pass + c.readBetween(n.Engine, h.Layers)
 		centre = h.Upstream.DataCentre
 	}
 	return e
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -99,6 +99,9 @@
 	last     int64       // ID of the latest event that the caller has
 	lastText string
 	started  time.Time
+	first    time.Duration // until the caller had the first event
+	heard    time.Time     // when it had the latest
+	pause    time.Duration // longest between two events
 	print    crash.Fingerprint
 
 	mu      sync.Mutex // the watch of a stream excludes upstreams as well
@@ -145,10 +148,22 @@
 	r.c.meter.Count("requests-" + endOf(err))
 	r.c.meter.Observe("request-us", time.Since(r.started))
 	r.c.log.Info("request-end", "request", r.q.ID, "route", r.q.Route.Name, "team", r.q.Team.Name, "outcome", outcome,
-		"attempts", r.account.Attempts(), "run-state", r.account.State(), "ms", time.Since(r.started).Milliseconds())
+		"attempts", r.account.Attempts(), "run-state", r.account.State(), "ms", time.Since(r.started).Milliseconds(),
+		"first-ms", r.first.Milliseconds(), "pause-ms", r.pause.Milliseconds())
 	return err
 }
 
+// passed notes that the caller has an event.
+func (r *run) passed() {
+	now := time.Now()
+	if r.heard.IsZero() {
+		r.first = now.Sub(r.started)
+	} else {
+		r.pause = max(r.pause, now.Sub(r.heard))
+	}
+	r.heard = now
+}
+
 // endOf names how a request ended, for counters.
 func endOf(err error) string {
 	var refusal *Refusal
@@ -240,7 +255,8 @@
 	began := time.Now()
 	rulesVersion, list := r.c.world.Versions()
 	r.c.log.Info("attempt", "request", r.q.ID, "number", r.account.Attempts()+1, "upstream", t.Upstream.ID,
-		"path", board.Describe(t.Hops()), "expected-first-ms", t.Expected.First.Milliseconds(), "last-event", r.last,
+		"path", board.Describe(t.Hops()), "expected-first-ms", t.Expected.First.Milliseconds(),
+		"expected-pause-ms", t.Expected.Pause.Milliseconds(), "last-event", r.last,
 		"rules-version", rulesVersion, "list-version", list, "waited-ms", began.Sub(r.started).Milliseconds())
 	outcome := r.send(ctx, t)
 	r.c.meter.Count("attempts-" + kindOf(outcome))
@@ -304,7 +320,7 @@
 	if err != nil {
 		r.c.board.Strike(t.Upstream)
 		r.excludeOne(t.Upstream.ID)
-		return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+		return brokenAnswer(err)
 	}
 	r.c.board.Alive(t.Upstream, a.Status >= http.StatusInternalServerError, time.Since(began))
 	if a.Load != nil {
@@ -313,8 +329,21 @@
 	if a.Status >= http.StatusInternalServerError && r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
 		r.excludeOne(t.Upstream.ID)
 		r.paid.Store(true)
-		return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+		return failedAnswer(a)
 	}
+	return r.deliver(a, body)
+}
+
+func brokenAnswer(err error) reply.Outcome {
+	return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+}
+
+func failedAnswer(a *Answer) reply.Outcome {
+	return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+}
+
+// deliver passes on an answer whose beginning was read, and the rest of a large one.
+func (r *run) deliver(a *Answer, body []byte) reply.Outcome {
 	r.sink.Begin(a.Status, a.Header)
 	r.begun = true
 	if err := r.sink.Write(body); err != nil {
@@ -340,7 +369,7 @@
 			return reply.Done{}
 		}
 		if err != nil {
-			return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+			return brokenAnswer(err)
 		}
 	}
 }
--- a/core/carry/carry_test.go
+++ b/core/carry/carry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,3 +228,33 @@
 		t.Errorf("without an objective up to %v, want the caller's patience", got)
 	}
 }
+
+// TestLargeAnswersComeWhole holds that answers beyond what is held back reach the caller whole, failures of streams
+// included.
+func TestLargeAnswersComeWhole(t *testing.T) {
+	body := strings.Repeat("x", wholeAnswer+1000)
+	for _, test := range []struct {
+		name   string
+		kind   rules.Kind
+		status int
+	}{
+		{"a plain answer", rules.Idempotent, http.StatusOK},
+		{"a failure of a plain request", rules.NonIdempotent, http.StatusInternalServerError},
+		{"a failure of a stream", rules.Streaming, http.StatusInternalServerError},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{list: plainUpstreams(1), answer: func(*Send, int) (*Answer, error) {
+					return &Answer{Verdict: Verdict{Sealed: true}, Status: test.status, Body: plainBody(body)}, nil
+				}}
+				var c caller
+				if err := w.carrier().Run(t.Context(), request(route(test.kind), nil), &c); err != nil {
+					t.Fatal(err)
+				}
+				if c.status != test.status || c.body.Len() != len(body) {
+					t.Errorf("status %d with %d bytes, wanted %d with %d", c.status, c.body.Len(), test.status, len(body))
+				}
+			})
+		})
+	}
+}
--- a/core/carry/stream.go
+++ b/core/carry/stream.go
@@ -38,24 +38,18 @@
 func (r *run) failed(t *board.Ticket, a *Answer) reply.Outcome {
 	r.c.board.Alive(t.Upstream, true, 0)
 	r.excludeOne(t.Upstream.ID)
-	outcome := reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
 	if r.begun {
-		return outcome
+		return failedAnswer(a)
 	}
 	if r.mayTryOther() && r.c.budget.Take(r.q.Service.Name) {
 		r.paid.Store(true)
-		return outcome
+		return failedAnswer(a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswer))
 	if err != nil {
-		return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
+		return brokenAnswer(err)
 	}
-	r.sink.Begin(a.Status, a.Header)
-	r.begun = true
-	if err := r.sink.Write(body); err != nil {
-		return reply.NewUnknown(reply.Canceled, err.Error())
-	}
-	return reply.Done{}
+	return r.deliver(a, body)
 }
 
 // events passes on whole events until the stream ends.
@@ -90,6 +84,7 @@
 		if err := r.sink.Write(e.raw); err != nil {
 			return reply.NewUnknown(reply.Canceled, err.Error())
 		}
+		r.passed()
 		if e.id != noID {
 			r.last = e.id
 			r.lastText = strconv.FormatInt(e.id, 10)
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -63,6 +63,14 @@
 	return e.Chunk / (chunk + pass)
 }
 
+// Read returns how long a card takes to read prompt tokens through a number of layers, with no passes between.
+func (e *Engine) Read(c Card, layers int, tokens float64) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0 // not told: reading decides nothing
+	}
+	return time.Duration(tokens / e.ReadPerSecond * c.Read * e.part(layers) * float64(time.Second))
+}
+
 func (e *Engine) part(layers int) float64 { return float64(layers) / float64(e.Layers) }
 
 // bytesPerMB is the unit of card sizes.
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -14,7 +14,9 @@
 	feedWait    = 10 * time.Second        // one long call for the configuration; each is priced
 	listWait    = 25 * time.Second        // the same for the other topics, whose age decides less
 	feedShare   = 3                       // of the bound on draining upstreams, between calls for the list, which changes all the time
-	nodesPause  = 2 * time.Second         // between calls for the nodes: few start at a time but at the system's start
+	nodesPause  = 6 * time.Second         // between calls for the nodes: a new one tells of itself by datagram
+	youngPause  = 2 * time.Second         // the same on a node that is young, where all may start together
+	youngTime   = 20 * time.Second        // for which a node is young
 	retryPause  = 300 * time.Millisecond  // after a call that failed
 	lapseGrace  = 2200 * time.Millisecond // after the store's return until a lapsed entry counts as gone
 	brokenPause = 700 * time.Millisecond  // longest pause between calls that fail
@@ -69,6 +71,9 @@
 	case store.Upstreams:
 		return n.settings.Load().Drain / feedShare
 	case store.Nodes:
+		if time.Since(n.started) < youngTime {
+			return youngPause
+		}
 		return nodesPause
 	}
 	panic("entry: a topic without a pause")
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -86,7 +86,7 @@
 	clock := event.NewClock(time.Now)
 	crashes := crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime)
 	n.mesh = mesh.New(mesh.Config{Node: c.Node, DataCentre: c.DataCentre, Datagrams: c.Datagrams, Questions: c.Control}, n.board,
-		n.known, n.others, &marks{crashes, clock}, n.log)
+		n.known, n.others, &marks{crashes, clock}, n.budget, n.log)
 	n.carrier = carry.New(carry.Parts{
 		Transport: &transport{pool: n.pool, wire: p.Wire, node: n}, Engines: n.engines, Board: n.board, World: n,
 		Budget: n.budget, Crashes: crashes, Spread: n.mesh.Spread, Meter: n.stats, Log: n.log,
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/crash"
+	"rhubarbspread/core/retry"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh/wire"
 
@@ -42,6 +44,12 @@
 	Learn(m crash.Mark)
 }
 
+// Repeats is the budget for repeats, which nodes share.
+type Repeats interface {
+	Counts() map[uint32]retry.Count
+	Hear(node string, nodes int, counts map[uint32]retry.Count)
+}
+
 // Peer is another node as its datagrams show it.
 type Peer struct {
 	Name       string
@@ -76,7 +84,8 @@
 	log         logr.Logger
 	incarnation uint64
 
-	marks Marks
+	marks   Marks
+	repeats Repeats
 
 	mu    sync.Mutex
 	peers map[string]*seen
@@ -123,9 +132,9 @@
 }
 
 // New returns a node's part; known tells what it has of the store, others the datagram addresses of other nodes.
-func New(c Config, b *board.Board, known func() Known, others func() map[string]Node, marks Marks, log logr.Logger) *Mesh {
+func New(c Config, b *board.Board, known func() Known, others func() map[string]Node, marks Marks, repeats Repeats, log logr.Logger) *Mesh {
 	return &Mesh{
-		config: c, board: b, marks: marks, known: known, others: others, log: log, peers: make(map[string]*seen),
+		config: c, board: b, marks: marks, repeats: repeats, known: known, others: others, log: log, peers: make(map[string]*seen),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 }
@@ -210,10 +219,24 @@
 		return // a relay adds it up
 	}
 	if d.GetScope() != wire.Scope_DATA_CENTRE {
-		m.board.Hear(newsOf(d))
+		m.hear(d)
+	}
+}
+
+// hear takes in what a datagram says of upstreams and of repeats.
+func (m *Mesh) hear(d *wire.Digest) {
+	news := newsOf(d)
+	m.board.Hear(news)
+	counts := make(map[uint32]retry.Count, len(d.GetSpent()))
+	for _, s := range d.GetSpent() {
+		counts[s.GetService()] = retry.Count{Firsts: int(s.GetFirsts()), Repeats: int(s.GetRepeats())}
 	}
+	m.repeats.Hear(news.Node, nodesOf(d), counts)
 }
 
+// nodesOf returns how many nodes a datagram speaks of.
+func nodesOf(d *wire.Digest) int { return max(1, int(d.GetNodes())) }
+
 // learn takes over the marks of a datagram.
 func (m *Mesh) learn(d *wire.Digest) {
 	for _, c := range d.GetCrashes() {
@@ -249,7 +272,7 @@
 	sequence := uint32(0)
 	for ctx.Err() == nil {
 		sequence++
-		for _, out := range m.plan(m.digest(sequence), m.others()) {
+		for _, out := range m.plan(m.digest(sequence), m.neighbours()) {
 			raw, err := proto.Marshal(out.digest)
 			if err != nil {
 				return err
@@ -265,6 +288,29 @@
 	return nil
 }
 
+// neighbours returns the other nodes that the store names, and those that it may not name yet but that told of
+// themselves.
+func (m *Mesh) neighbours() map[string]Node {
+	all := maps.Clone(m.others())
+	if all == nil {
+		all = make(map[string]Node)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, s := range m.peers {
+		if _, ok := all[name]; ok || s.own == nil || time.Since(s.ownAt) > freshTime {
+			continue
+		}
+		address, err := netip.ParseAddrPort(s.own.GetAddress())
+		if err != nil {
+			m.log.Info("datagram-unreadable", "other", name, "cause", err.Error())
+			continue
+		}
+		all[name] = Node{address, s.own.GetDataCentre()}
+	}
+	return all
+}
+
 func (m *Mesh) digest(sequence uint32) *wire.Digest {
 	k := m.known()
 	d := &wire.Digest{
@@ -278,6 +324,9 @@
 			Reading: uint32(c.Reading / thousand),
 		})
 	}
+	for tag, c := range m.repeats.Counts() {
+		d.Spent = append(d.Spent, &wire.Spent{Service: tag, Firsts: uint32(c.Firsts), Repeats: uint32(c.Repeats)})
+	}
 	for tag, pace := range m.board.Paces() {
 		d.Health = append(d.Health, &wire.Health{Upstream: tag, Pace: uint32(pace * thousand)})
 	}
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/crash"
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/retry"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh/wire"
 
@@ -33,7 +34,10 @@
 	centre  string
 	board   *board.Board
 	off     bool
-	learnt  []crash.Mark
+	// unlisted is a node that the store does not name yet to the others.
+	unlisted bool
+	learnt   []crash.Mark
+	budget   *retry.Window
 }
 
 // Learn remembers a mark.
@@ -49,10 +53,12 @@
 			address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
 			centre:  centres[i%len(centres)], board: board.New(board.WithSeed(uint64(i))),
 		}
+		m.budget = retry.NewWindow(0.2, 100, 10*time.Second)
+		m.budget.SetNodes(n)
 		m.board.Keep(fleet.NewList(1, g.list))
 		name := fmt.Sprintf("node-%d", i)
-		m.Mesh = New(Config{Node: name, DataCentre: m.centre}, m.board, func() Known { return Known{Rules: uint64(i)} },
-			func() map[string]Node { return g.others(name) }, m, logr.Discard())
+		m.Mesh = New(Config{Node: name, DataCentre: m.centre, Datagrams: m.address.String()}, m.board, func() Known { return Known{Rules: uint64(i)} },
+			func() map[string]Node { return g.others(name) }, m, m.budget, logr.Discard())
 		g.nodes = append(g.nodes, m)
 	}
 	return g
@@ -61,7 +67,7 @@
 func (g *group) others(name string) map[string]Node {
 	m := make(map[string]Node)
 	for _, n := range g.nodes {
-		if n.config.Node != name {
+		if n.config.Node != name && !n.unlisted {
 			m[n.config.Node] = Node{n.address, n.centre}
 		}
 	}
@@ -74,7 +80,7 @@
 		if from.off {
 			continue
 		}
-		for _, out := range from.plan(from.Mesh.digest(sequence), from.others()) {
+		for _, out := range from.plan(from.Mesh.digest(sequence), from.neighbours()) {
 			raw, err := proto.Marshal(out.digest)
 			if err != nil {
 				g.t.Fatal(err)
@@ -230,7 +236,7 @@
 func TestNewsHasOnlyWhatIsNewer(t *testing.T) {
 	m := New(Config{Node: "n"}, board.New(), func() Known {
 		return Known{Rules: 7, List: 9, Raw: []byte("config"), Items: []store.Item{{Key: "u", Value: []byte("entry")}}}
-	}, nil, nil, logr.Discard())
+	}, nil, nil, nil, logr.Discard())
 	tests := []struct {
 		rules, list uint64
 		config      bool
@@ -243,3 +249,46 @@
 		}
 	}
 }
+
+// TestEachNodeLearnsWhatAllRepeated holds that one node's counts reach all others, few or many.
+func TestEachNodeLearnsWhatAllRepeated(t *testing.T) {
+	for _, n := range []int{3, 60} {
+		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, n, "a", "b", "c")
+				for _, m := range g.nodes {
+					m.budget.First("s")
+				}
+				last := g.nodes[n-1]
+				for sequence := range uint32(4) {
+					g.tick(sequence + 1)
+				}
+				if got := last.budget.Known("s"); got != (retry.Count{Firsts: n}) {
+					t.Errorf("node %d knows of %+v, wanted the first attempts of %d nodes", n-1, got, n)
+				}
+			})
+		})
+	}
+}
+
+// TestNodeThatTheStoreDoesNotNameYet holds that a new node and the others learn of each other's claims before its row
+// has reached them: the list of nodes is fetched seldom.
+func TestNodeThatTheStoreDoesNotNameYet(t *testing.T) {
+	for _, n := range []int{4, 40} {
+		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, n, "a", "b", "c")
+				g.nodes[n-1].unlisted = true
+				total := g.hold()
+				for i := range 8 {
+					g.tick(uint32(i + 1))
+				}
+				for i, m := range g.nodes {
+					if got, want := m.board.Others(g.list[0]).First, total-i-1; got != want {
+						t.Errorf("%s believes that the others hold %d, want %d", m.config.Node, got, want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -109,7 +109,7 @@
 		t.add(d, 1)
 	}
 	t.add(own, -1)
-	m.board.Hear(newsOf(t.digest(own, wire.Scope_OTHERS, 0, 0)))
+	m.hear(t.digest(own, wire.Scope_OTHERS, 0, 0))
 	return out
 }
 
@@ -145,12 +145,14 @@
 	members map[uint32]int
 	crashes []*wire.Crash
 	plans   int
+	spent   map[uint32]*wire.Spent
+	nodes   int
 }
 
 func newTally() *tally {
 	return &tally{
 		claims: make(map[uint32]*wire.Claim), resting: make(map[uint32]int), health: make(map[uint32]*wire.Health),
-		members: make(map[uint32]int),
+		members: make(map[uint32]int), spent: make(map[uint32]*wire.Spent),
 	}
 }
 
@@ -171,6 +173,16 @@
 	for _, tag := range d.GetResting() {
 		t.resting[tag] += sign
 	}
+	t.nodes += sign * nodesOf(d)
+	for _, s := range d.GetSpent() {
+		sum := t.spent[s.GetService()]
+		if sum == nil {
+			sum = &wire.Spent{Service: s.GetService()}
+			t.spent[s.GetService()] = sum
+		}
+		sum.Firsts += uint32(sign) * s.GetFirsts()
+		sum.Repeats += uint32(sign) * s.GetRepeats()
+	}
 	if d.GetPlans() {
 		t.plans += sign
 	}
@@ -191,6 +203,7 @@
 	d := &wire.Digest{
 		Node: own.GetNode(), Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(), DataCentre: own.GetDataCentre(),
 		Questions: own.GetQuestions(), Rules: rules, List: list, Scope: scope, Crashes: t.crashes, Plans: t.plans > 0,
+		Nodes: uint32(t.nodes),
 	}
 	for _, c := range t.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
@@ -199,6 +212,9 @@
 			})
 		}
 	}
+	for _, s := range t.spent {
+		d.Spent = append(d.Spent, &wire.Spent{Service: s.GetService(), Firsts: s.GetFirsts(), Repeats: s.GetRepeats()})
+	}
 	for tag, n := range t.resting {
 		for range n {
 			d.Resting = append(d.Resting, tag)
