Let prompts cross the pipe between two data centres only within a part of it

A prompt of 800 tokens takes 18 ms on a pipe that carries one transfer after the other; 100 to 330 prompts a second were sent across, 55 fit, and the events of all streams that cross waited behind them. Ruled out: orders (9 of 2,987 late streams), repairs alone (605 changed, 511 sent again, 1,864 neither), the time to the first event. Change: a prompt on a pipe is claimed like room and told; a path may cross only where what is on the pipe and the prompt itself take at most 0.4 of the caller's longest pause, and while the node's part of half the pipe lasts. Waiting for the pipe counts in the predicted first event and pause. The list of upstreams is fetched with a pause that leaves time for one failed call (1.5 s instead of 1 s where the bound on draining is 3 s, else as before).

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -63,6 +63,9 @@
 	freed  chan struct{} // closed and replaced when room may have come free
 	centre string        // the node's own data centre
 	cuts   map[string]*cut
+	nodes  int // that share the pipes between data centres
+	// tolls has this node's part of each pipe.
+	tolls map[Key]*toll
 }
 
 // Option sets a part of a Board.
@@ -88,6 +91,7 @@
 		peers:  make(map[string]heard),
 		freed:  make(chan struct{}),
 		cuts:   make(map[string]*cut),
+		nodes:  1, tolls: make(map[Key]*toll),
 	}
 	for _, o := range opts {
 		o(b)
@@ -100,6 +104,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for k, s := range b.states {
+		if b.tolls[k] != nil {
+			continue
+		}
 		u := list.Get(k.ID)
 		if (u == nil || u.Born != k.Born) && s.running == 0 && s.first == 0 {
 			delete(b.states, k)
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -95,7 +95,7 @@
 			if ok {
 				checkPath(t, tk.Hops(), 80)
 				if rapid.Bool().Draw(t, "restore") {
-					tk.Restore(before)
+					tk.Restore(engine(), before)
 				}
 			}
 			tickets = append(tickets, tk)
@@ -106,7 +106,7 @@
 			// A stream's watch may look at a path when the stream is over.
 			last := tk.Hops()[len(tk.Hops())-1].Upstream.ID
 			if before, ok := tk.Bypass(list, need(), []string{last}); ok {
-				tk.Restore(before)
+				tk.Restore(engine(), before)
 			}
 		}
 		for k, s := range b.states {
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -17,6 +17,7 @@
 	Exclude    []string
 	Warm       func(*fleet.Upstream) bool // a connection to it is kept; nil if not known
 	Patience   time.Duration              // longest time to the first event that is worth a start, or 0
+	Pause      time.Duration              // longest pause between events that the caller is content with, or 0
 }
 
 // Estimate is the predicted course of a generation on a path.
@@ -49,7 +50,7 @@
 	if hops == nil {
 		return nil
 	}
-	t := &Ticket{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt}
+	t := &Ticket{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.Prompt + n.Output, prompt: n.Prompt, layers: n.Engine.Layers}
 	t.Expected = b.estimate(n, hops)
 	if n.Patience > 0 && t.Expected.First > n.Patience {
 		return nil
@@ -60,6 +61,7 @@
 		b.state(KeyOf(h.Upstream)).try(b.now())
 	}
 	t.reading = slices.Clone(hops)
+	t.cross(n.Engine, hops, hops)
 	b.state(KeyOf(t.Upstream)).first++
 	return t
 }
@@ -104,21 +106,21 @@
 		return nil, false
 	}
 	before := t.hops
-	t.follow(hops)
+	t.follow(n.Engine, hops)
 	return before, true
 }
 
 // Restore puts a ticket back on a path of before.
-func (t *Ticket) Restore(hops []Hop) {
+func (t *Ticket) Restore(e *rules.Engine, hops []Hop) {
 	t.board.mu.Lock()
 	defer t.board.mu.Unlock()
 	if !t.released {
-		t.follow(hops)
+		t.follow(e, hops)
 	}
 }
 
 // follow moves a ticket's reservations to another path. Parts that are new on it read all tokens of before.
-func (t *Ticket) follow(hops []Hop) {
+func (t *Ticket) follow(e *rules.Engine, hops []Hop) {
 	t.endReading()
 	before := t.hops
 	for _, h := range before {
@@ -132,6 +134,7 @@
 			t.reading = append(t.reading, h)
 		}
 	}
+	t.cross(e, hops, t.reading)
 }
 
 // reads notes that a part has the ticket's prompt before it, with a sign of 1, or has read it, with -1.
@@ -145,6 +148,7 @@
 		t.reads(h, -1)
 	}
 	t.reading = nil
+	t.endCrossing()
 }
 
 // mostParts is how many parts upstreams accept in a path.
@@ -188,7 +192,7 @@
 					continue
 				}
 				layers := fleet.Range{From: at.layer, To: end}
-				cost, ok := c.cost(n, layers, at.centre)
+				cost, ok := b.cost(&c, n, layers, at.centre)
 				if !ok {
 					continue
 				}
@@ -306,12 +310,20 @@
 }
 
 // cost returns the time in ms that a part adds to a generation, and whether the part has room.
-func (c *candidate) cost(n *Need, layers fleet.Range, centre string) (float64, bool) {
+func (b *Board) cost(c *candidate, n *Need, layers fleet.Range, centre string) (float64, bool) {
 	need := (n.Prompt + n.Output) * float64(layers.Len())
 	if need > c.room || layers.From == 0 && c.noFirst {
 		return 0, false
 	}
+	wait := time.Duration(0)
+	if centre != "" && centre != c.upstream.DataCentre {
+		if !b.mayCross(n, centre, c.upstream.DataCentre) {
+			return 0, false
+		}
+		wait = b.pipeWait(n.Engine, centre, c.upstream.DataCentre)
+	}
 	read, pass := c.times(n, layers, centre)
+	read += wait
 	fullness := 1 - c.room/c.total // the same for all parts, so that cutting a part in two gains nothing
 	price := (float64(scarcity)*fullness*fullness + float64(crowding)*c.writers) * float64(layers.Len()) / float64(n.Engine.Layers)
 	if layers.From == 0 && c.upstream.DataCentre != n.DataCentre {
@@ -342,10 +354,7 @@
 	pass = e.Pass(c.card, layers.Len(), c.writers+1, context)
 	if centre != "" && centre != c.upstream.DataCentre {
 		pass += time.Duration(e.Stride) * e.Delay
-		reading += float64(e.Delay)
-		if e.Pipe > 0 {
-			reading += n.Prompt * e.ActivationBytes * bitsPerByte / (e.Pipe * bitsPerMegabit) * second
-		}
+		reading += float64(e.Delay + transfer(e, n.Prompt))
 	}
 	return time.Duration(reading) + pass, pass
 }
@@ -374,6 +383,11 @@
 		read, pass := c.times(n, h.Layers, centre)
 		e.First += read
 		e.Pause += pass + c.readBetween(n.Engine, h.Layers)
+		if centre != "" && centre != h.Upstream.DataCentre {
+			wait := b.pipeWait(n.Engine, centre, h.Upstream.DataCentre)
+			e.First += wait
+			e.Pause += wait
+		}
 		centre = h.Upstream.DataCentre
 	}
 	return e
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -15,6 +15,8 @@
 	Expected Estimate
 	tokens   float64
 	prompt   float64
+	layers   int   // of the model
+	pipes    []Key // that the prompt crosses now
 	reading  []Hop // parts that have the prompt before them
 	released bool
 }
--- a/core/carry/carry.go
+++ b/core/carry/carry.go
@@ -220,6 +220,7 @@
 		Exclude:    exclude,
 		Warm:       r.c.transport.HasConnection,
 		Patience:   worthAStart(r.q.Route),
+		Pause:      r.q.Route.Pause,
 	}
 }
 
--- a/core/carry/watch.go
+++ b/core/carry/watch.go
@@ -191,7 +191,7 @@
 			return nil
 		}
 		other := partAt(t.Hops(), culprit)
-		t.Restore(before)
+		t.Restore(r.q.Service.Engine, before)
 		if other == nil || other == t.Upstream {
 			return err
 		}
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -13,7 +13,9 @@
 const (
 	feedWait    = 10 * time.Second        // one long call for the configuration; each is priced
 	listWait    = 25 * time.Second        // the same for the other topics, whose age decides less
-	feedShare   = 3                       // of the bound on draining upstreams, between calls for the list, which changes all the time
+	feedLeast   = 3                       // part of the bound on draining upstreams that is the least pause between calls for the list, which changes all the time
+	feedMost    = 2                       // part of it that is the longest
+	feedFault   = 1500 * time.Millisecond // of the bound, kept for one call that fails and the next
 	nodesPause  = 6 * time.Second         // between calls for the nodes: a new one tells of itself by datagram
 	youngPause  = 2 * time.Second         // the same on a node that is young, where all may start together
 	youngTime   = 20 * time.Second        // for which a node is young
@@ -69,7 +71,7 @@
 	case store.Configuration:
 		return 0
 	case store.Upstreams:
-		return n.settings.Load().Drain / feedShare
+		return listPause(n.settings.Load().Drain)
 	case store.Nodes:
 		if time.Since(n.started) < youngTime {
 			return youngPause
@@ -79,6 +81,12 @@
 	panic("entry: a topic without a pause")
 }
 
+// listPause returns the pause between calls for the list, with which a node knows of a draining upstream within a bound
+// though a call fails.
+func listPause(drain time.Duration) time.Duration {
+	return max(drain/feedLeast, min(drain/feedMost, drain-feedFault))
+}
+
 // lost notes that a call of the store failed.
 func (n *Node) lost(t store.Topic, err error) {
 	n.storeMu.Lock()
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -218,4 +218,5 @@
 	c.node.view.Store(v)
 	c.node.board.Keep(v.List)
 	c.node.budget.SetNodes(len(c.nodes) + 1)
+	c.node.board.SetNodes(len(c.nodes) + 1)
 }
