Tell other nodes which upstreams refuse, and ask them when a list stands still

Change: a node tells which upstreams refuse it; one that refuses two others is left out for two periods, also where nobody else holds its part. The node's call for changes may hang without an error for as long as it may wait (25 s), and a node whose store answers never asked others for the list, since versions differed between nodes that show the same. Change: a list's version is that of its newest row; a node whose list stands still for longer than its pause while others' moved asks one of them.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -41,6 +41,8 @@
 	trial     time.Time // until when one request tries it after a rest
 	strikes   int       // such signs in a row
 	refusals  int       // refusals in a row
+	full      int       // other nodes that it refused just now
+	fullAt    time.Time // when they told
 	alive     time.Time // of the latest sign of life
 	doubted   int       // other nodes for which it rests, those of its data centre twice
 	pace      float64   // factor on its times as it reports, or 0
@@ -152,6 +154,8 @@
 	claimLife  = 2 * time.Second         // after which another node's claims no longer count
 	paceLife   = 2500 * time.Millisecond // after which a report no longer counts
 	toldLife   = 200 * time.Millisecond  // for which what an upstream told of its load counts
+	refused    = 2                       // other nodes that an upstream must refuse to be left out here too: one may have asked for much
+	fullLife   = 300 * time.Millisecond  // for which that counts: two periods of what nodes tell each other
 	doublings  = 4                       // of a rest
 )
 
@@ -196,7 +200,7 @@
 
 // isOut reports whether an upstream is left out of choices now.
 func (b *Board) isOut(u *fleet.Upstream, s *state, now time.Time) bool {
-	if now.Before(s.restUntil) || b.isCut(u.DataCentre, now) {
+	if now.Before(s.restUntil) || b.isCut(u.DataCentre, now) || s.isRefusing(now) {
 		return true
 	}
 	if s.strikes+s.refusals > 0 && now.Before(s.trial) {
--- a/core/board/news.go
+++ b/core/board/news.go
@@ -25,6 +25,7 @@
 	DataCentre string
 	Claims     map[uint32]Claim
 	Resting    []uint32 // that broke or fell silent for it
+	Refusing   []uint32 // that refused it, once for each node that is told of
 	Paces      map[uint32]float64
 }
 
@@ -34,6 +35,11 @@
 	at time.Time
 }
 
+// isRefusing reports whether an upstream refuses others, for want of room or since a part behind it is dead.
+func (s *state) isRefusing(now time.Time) bool {
+	return s.full >= refused && now.Sub(s.fullAt) < fullLife
+}
+
 // Claims returns what this node's requests hold, by the upstream's tag.
 func (b *Board) Claims() map[uint32]Claim {
 	b.mu.Lock()
@@ -61,6 +67,20 @@
 	return tags
 }
 
+// RefusingTags returns the upstreams that refused this node and rest for it.
+func (b *Board) RefusingTags() []uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var tags []uint32
+	for _, s := range b.states {
+		if s.strikes == 0 && s.refusals > 0 && now.Before(s.restUntil) {
+			tags = append(tags, s.tag)
+		}
+	}
+	return tags
+}
+
 // Hear takes in what another node tells.
 func (b *Board) Hear(n News) {
 	b.mu.Lock()
@@ -68,7 +88,7 @@
 	b.peers[n.Node] = heard{n, b.now()}
 	byTag := make(map[uint32]*state, len(b.states))
 	for _, s := range b.states {
-		s.others, s.doubted = Claim{}, 0
+		s.others, s.doubted, s.full = Claim{}, 0, 0
 		byTag[s.tag] = s
 	}
 	now := b.now()
@@ -87,6 +107,14 @@
 				s.others = s.others.add(c)
 			}
 		}
+		for _, tag := range p.Refusing {
+			if s := byTag[tag]; s != nil {
+				s.full++
+				if p.at.After(s.fullAt) {
+					s.fullAt = p.at
+				}
+			}
+		}
 		for _, tag := range p.Resting {
 			if s := byTag[tag]; s != nil {
 				s.doubted++
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -168,7 +168,7 @@
 }
 
 // search runs Dijkstra's algorithm over layers and data centres, from a data centre that ran the layers before.
-// Resting upstreams take part only where asked.
+// Resting upstreams take part only where asked, and those that refuse others never.
 func (b *Board) search(list []*fleet.Upstream, n *Need, span fleet.Range, centre string, resting bool) []Hop {
 	usable := b.usable(list, n, resting)
 	cuts := boundaries(usable, span)
@@ -282,7 +282,7 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if !resting && b.isOut(u, s, now) {
+		if b.isOut(u, s, now) && (!resting || s.isRefusing(now)) {
 			continue
 		}
 		card = b.cardOf(n.Engine, u, s)
--- a/core/store/feed.go
+++ b/core/store/feed.go
@@ -23,6 +23,7 @@
 	Key     string
 	Value   []byte
 	Removed bool
+	Version uint64 // of the row
 }
 
 // Feed tells changes of topics; its errors are *Error, of cause Compacted if the history is gone.
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -29,7 +29,7 @@
 	since := uint64(0)
 	known, failures := false, 0
 	for ctx.Err() == nil {
-		ch := change{topic: t, snapshot: !known}
+		ch := change{topic: t, snapshot: !known, direct: true}
 		var err error
 		if known {
 			ch.items, ch.version, err = n.platform.Feed.Changes(ctx, t, since, waitFor(t))
@@ -46,6 +46,7 @@
 		n.regained(t)
 		failures = 0
 		known, since = true, ch.version
+		ch.version = shown(ch)
 		if len(ch.items) > 0 || ch.snapshot {
 			select {
 			case changes <- ch:
@@ -57,6 +58,16 @@
 	return nil
 }
 
+// shown returns the version of the newest row of a change, which is the same for all nodes that have seen it; the version
+// of the store grows with the rows of other topics.
+func shown(ch change) uint64 {
+	newest := uint64(0)
+	for _, it := range ch.items {
+		newest = max(newest, it.Version)
+	}
+	return newest
+}
+
 // waitFor returns how long one call for a topic's changes lasts.
 func waitFor(t store.Topic) time.Duration {
 	if t == store.Configuration {
@@ -134,9 +145,37 @@
 	askLag   = 700 * time.Millisecond // that another node may be ahead before it is asked: the store tells all at once
 )
 
+// lag judges how long a node has been behind others.
+type lag struct {
+	rules   time.Time // since when another node has had a newer configuration, or zero
+	list    uint64    // the node's own
+	listAt  time.Time // when it was new
+	allowed time.Duration
+}
+
+// mayAsk reports whether a node that has k should ask one that is ahead. What the store tells all comes a little later
+// to some; a list that stands still while others' move shows a call that hangs.
+func (l *lag) mayAsk(now time.Time, k mesh.Known, peer mesh.Peer, isLost bool) bool {
+	if k.List != l.list || l.listAt.IsZero() {
+		l.list, l.listAt = k.List, now
+	}
+	if k.Rules >= peer.Rules {
+		l.rules = time.Time{}
+	} else if l.rules.IsZero() {
+		l.rules = now
+	}
+	switch {
+	case isLost:
+		return true
+	case !l.rules.IsZero() && now.Sub(l.rules) >= askLag:
+		return true
+	}
+	return peer.List > k.List && now.Sub(l.listAt) >= l.allowed+askLag
+}
+
 // askAround asks other nodes for what the store does not tell this one.
 func (n *Node) askAround(ctx context.Context, changes chan<- change) error {
-	var behind time.Time // since when another node has been ahead
+	var l lag
 	for ctx.Err() == nil {
 		sleep(ctx, askPause)
 		k := n.known()
@@ -145,16 +184,12 @@
 			seed := n.config.Seeds[rand.IntN(len(n.config.Seeds))]
 			peer, ok = mesh.Peer{Name: "seed", Questions: seed, Rules: 1}, true
 		}
+		l.allowed = listPause(n.settings.Load().Drain)
 		if !ok {
-			behind = time.Time{}
-			continue
-		}
-		if behind.IsZero() {
-			behind = time.Now()
+			peer = mesh.Peer{Rules: k.Rules, List: k.List}
 		}
-		isLost := n.isLost()
-		if time.Since(behind) < askLag && !isLost || k.Rules >= peer.Rules && !isLost {
-			continue // lists differ all the time between two nodes that the store answers
+		if !l.mayAsk(time.Now(), k, peer, n.isLost()) || !ok {
+			continue
 		}
 		news, err := n.mesh.Ask(ctx, peer.Questions, k.Rules, k.List)
 		if err != nil {
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -28,6 +28,7 @@
 	items    []store.Item
 	version  uint64
 	snapshot bool // items are all rows
+	direct   bool // from the store, not from another node
 }
 
 // control owns what the node believes; one goroutine runs it.
@@ -78,10 +79,11 @@
 			c.configure(it)
 		}
 	case store.Upstreams:
-		if ch.version < c.version {
+		if ch.version < c.version && !(ch.snapshot && ch.direct) {
 			return // from another node, and overtaken
 		}
-		c.version = ch.version
+		// The newest row of a snapshot may be older than one that was removed since.
+		c.version = max(c.version, ch.version)
 		c.list(ch)
 	case store.Nodes:
 		for _, it := range ch.items {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -260,7 +260,7 @@
 	for _, h := range d.GetHealth() {
 		paces[h.GetUpstream()] = float64(h.GetPace()) / thousand
 	}
-	n := board.News{Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Resting: d.GetResting(), Paces: paces}
+	n := board.News{Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Resting: d.GetResting(), Refusing: d.GetRefusing(), Paces: paces}
 	if d.GetScope() == wire.Scope_OTHERS {
 		n.Node, n.DataCentre = everybody, "" // from whichever relay told last
 	}
@@ -317,6 +317,7 @@
 		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence, Rules: k.Rules, List: k.List,
 		DataCentre: m.config.DataCentre, Plans: k.Plans, Crashes: m.freshMarks(),
 		Address: m.config.Datagrams, Questions: m.config.Questions, Resting: m.board.RestingTags(),
+		Refusing: m.board.RefusingTags(),
 	}
 	for tag, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -250,7 +250,7 @@
 	}
 }
 
-// TestEachNodeLearnsWhatAllRepeated holds that one node's counts reach all others, few or many.
+// TestEachNodeLearnsWhatAllRepeated holds that one node's counts and refusals reach all others, few or many.
 func TestEachNodeLearnsWhatAllRepeated(t *testing.T) {
 	for _, n := range []int{3, 60} {
 		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
@@ -263,6 +263,17 @@
 				for sequence := range uint32(4) {
 					g.tick(sequence + 1)
 				}
+				for sequence := range uint32(3) {
+					for _, m := range g.nodes[:2] {
+						m.board.Full(g.list[0])
+					}
+					g.tick(sequence + 5)
+				}
+				for range 10 {
+					if tk := last.board.Plain(g.list[:2], nil); tk.Upstream != g.list[1] {
+						t.Fatal("the last node does not leave out the upstream that refused two others")
+					}
+				}
 				if got := last.budget.Known("s"); got != (retry.Count{Firsts: n}) {
 					t.Errorf("node %d knows of %+v, wanted the first attempts of %d nodes", n-1, got, n)
 				}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -141,6 +141,7 @@
 type tally struct {
 	claims  map[uint32]*wire.Claim
 	resting map[uint32]int
+	refused map[uint32]int
 	health  map[uint32]*wire.Health
 	members map[uint32]int
 	crashes []*wire.Crash
@@ -152,7 +153,7 @@
 func newTally() *tally {
 	return &tally{
 		claims: make(map[uint32]*wire.Claim), resting: make(map[uint32]int), health: make(map[uint32]*wire.Health),
-		members: make(map[uint32]int), spent: make(map[uint32]*wire.Spent),
+		members: make(map[uint32]int), refused: make(map[uint32]int), spent: make(map[uint32]*wire.Spent),
 	}
 }
 
@@ -183,6 +184,9 @@
 		sum.Firsts += uint32(sign) * s.GetFirsts()
 		sum.Repeats += uint32(sign) * s.GetRepeats()
 	}
+	for _, tag := range d.GetRefusing() {
+		t.refused[tag] += sign
+	}
 	if d.GetPlans() {
 		t.plans += sign
 	}
@@ -215,11 +219,7 @@
 	for _, s := range t.spent {
 		d.Spent = append(d.Spent, &wire.Spent{Service: s.GetService(), Firsts: s.GetFirsts(), Repeats: s.GetRepeats()})
 	}
-	for tag, n := range t.resting {
-		for range n {
-			d.Resting = append(d.Resting, tag)
-		}
-	}
+	d.Resting, d.Refusing = repeated(t.resting), repeated(t.refused)
 	for _, h := range t.health {
 		d.Health = append(d.Health, h)
 	}
@@ -230,3 +230,14 @@
 	}
 	return d
 }
+
+// repeated returns each tag as often as it was counted.
+func repeated(counts map[uint32]int) []uint32 {
+	var out []uint32
+	for tag, n := range counts {
+		for range n {
+			out = append(out, tag)
+		}
+	}
+	return out
+}
