Make one piece of code of what the change wrote twice

Found on reading the whole change, behaviour as before: resting and refusing upstreams were collected by twin loops; the time of reading stood in two formulas; a path's search looked up a pipe by a joined name up to three times for each edge, now once a search for each pair of data centres; whether a step crosses was spelled out three times; tests wrote the expected events twice. 'refused' beside 'full' named one thing.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -41,18 +41,19 @@
 	trial     time.Time // until when one request tries it after a rest
 	strikes   int       // such signs in a row
 	refusals  int       // refusals in a row
-	full      int       // other nodes that it refused just now
-	fullAt    time.Time // when they told
-	alive     time.Time // of the latest sign of life
-	doubted   int       // other nodes for which it rests, those of its data centre twice
-	pace      float64   // factor on its times as it reports, or 0
-	paceAt    time.Time
-	paceOwn   bool // this node asked for the report
-	centre    string
-	errors    float64 // share of its latest answers that failed, decayed
-	took      float64 // mean time of a plain answer, ms, decayed
-	told      int     // requests that it said it has, at toldAt
-	toldAt    time.Time
+	// refusers is how many other nodes it refused just now, as they told at refusersAt.
+	refusers   int
+	refusersAt time.Time
+	alive      time.Time // of the latest sign of life
+	doubted    int       // other nodes for which it rests, those of its data centre twice
+	pace       float64   // factor on its times as it reports, or 0
+	paceAt     time.Time
+	paceOwn    bool // this node asked for the report
+	centre     string
+	errors     float64 // share of its latest answers that failed, decayed
+	took       float64 // mean time of a plain answer, ms, decayed
+	told       int     // requests that it said it has, at toldAt
+	toldAt     time.Time
 }
 
 // Board is safe for use by several goroutines.
@@ -143,20 +144,20 @@
 
 // Times of evidence.
 const (
-	fullTime   = 100 * time.Millisecond  // first rest of an upstream that refused
-	strikeTime = 400 * time.Millisecond  // first rest of an upstream that broke or fell silent
-	restLimit  = 3 * time.Second         // longest rest between two trials of such an upstream
-	fullLimit  = time.Second             // the same after refusals, which may be for want of room alone
-	trialTime  = 700 * time.Millisecond  // in which the one request that tries an upstream should tell of it
-	aliveTime  = time.Second             // for which an own sign of life outweighs what other nodes say
-	doubters   = 2                       // other nodes for which an upstream must rest to be left out here too
-	errorDecay = 0.2                     // weight of the latest answer in the share of failures
-	claimLife  = 2 * time.Second         // after which another node's claims no longer count
-	paceLife   = 2500 * time.Millisecond // after which a report no longer counts
-	toldLife   = 200 * time.Millisecond  // for which what an upstream told of its load counts
-	refused    = 2                       // other nodes that an upstream must refuse to be left out here too: one may have asked for much
-	fullLife   = 300 * time.Millisecond  // for which that counts: two periods of what nodes tell each other
-	doublings  = 4                       // of a rest
+	fullTime     = 100 * time.Millisecond  // first rest of an upstream that refused
+	strikeTime   = 400 * time.Millisecond  // first rest of an upstream that broke or fell silent
+	restLimit    = 3 * time.Second         // longest rest between two trials of such an upstream
+	fullLimit    = time.Second             // the same after refusals, which may be for want of room alone
+	trialTime    = 700 * time.Millisecond  // in which the one request that tries an upstream should tell of it
+	aliveTime    = time.Second             // for which an own sign of life outweighs what other nodes say
+	doubters     = 2                       // other nodes for which an upstream must rest to be left out here too
+	errorDecay   = 0.2                     // weight of the latest answer in the share of failures
+	claimLife    = 2 * time.Second         // after which another node's claims no longer count
+	paceLife     = 2500 * time.Millisecond // after which a report no longer counts
+	toldLife     = 200 * time.Millisecond  // for which what an upstream told of its load counts
+	mostRefusers = 2                       // other nodes whose refusal leaves an upstream out here too: one may have asked for much
+	refusersLife = 300 * time.Millisecond  // for which that counts: two periods of what nodes tell each other
+	doublings    = 4                       // of a rest
 )
 
 // Full notes that an upstream refused, which a dead part of a path does as well as a full one.
--- a/core/board/news.go
+++ b/core/board/news.go
@@ -37,7 +37,7 @@
 
 // isRefusing reports whether an upstream refuses others, for want of room or since a part behind it is dead.
 func (s *state) isRefusing(now time.Time) bool {
-	return s.full >= refused && now.Sub(s.fullAt) < fullLife
+	return s.refusers >= mostRefusers && now.Sub(s.refusersAt) < refusersLife
 }
 
 // Claims returns what this node's requests hold, by the upstream's tag.
@@ -55,26 +55,22 @@
 
 // RestingTags returns the upstreams that broke or fell silent for this node.
 func (b *Board) RestingTags() []uint32 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
-	var tags []uint32
-	for _, s := range b.states {
-		if s.strikes > 0 && now.Before(s.restUntil) {
-			tags = append(tags, s.tag)
-		}
-	}
-	return tags
+	return b.restingFor(func(s *state) bool { return s.strikes > 0 })
 }
 
 // RefusingTags returns the upstreams that refused this node and rest for it.
 func (b *Board) RefusingTags() []uint32 {
+	return b.restingFor(func(s *state) bool { return s.strikes == 0 && s.refusals > 0 })
+}
+
+// restingFor returns the tags of the upstreams that rest for a cause.
+func (b *Board) restingFor(cause func(*state) bool) []uint32 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	var tags []uint32
 	for _, s := range b.states {
-		if s.strikes == 0 && s.refusals > 0 && now.Before(s.restUntil) {
+		if now.Before(s.restUntil) && cause(s) {
 			tags = append(tags, s.tag)
 		}
 	}
@@ -88,7 +84,7 @@
 	b.peers[n.Node] = heard{n, b.now()}
 	byTag := make(map[uint32]*state, len(b.states))
 	for _, s := range b.states {
-		s.others, s.doubted, s.full = Claim{}, 0, 0
+		s.others, s.doubted, s.refusers = Claim{}, 0, 0
 		byTag[s.tag] = s
 	}
 	now := b.now()
@@ -109,9 +105,9 @@
 		}
 		for _, tag := range p.Refusing {
 			if s := byTag[tag]; s != nil {
-				s.full++
-				if p.at.After(s.fullAt) {
-					s.fullAt = p.at
+				s.refusers++
+				if p.at.After(s.refusersAt) {
+					s.refusersAt = p.at
 				}
 			}
 		}
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -173,6 +173,7 @@
 	usable := b.usable(list, n, resting)
 	cuts := boundaries(usable, span)
 	best := map[place]*step{{span.From, centre}: {}}
+	pipes := make(map[[2]string]pipe)
 	for {
 		at, s := nearest(best)
 		if s == nil {
@@ -192,7 +193,7 @@
 					continue
 				}
 				layers := fleet.Range{From: at.layer, To: end}
-				cost, ok := b.cost(&c, n, layers, at.centre)
+				cost, ok := c.cost(n, layers, at.centre, b.pipeTo(pipes, n, at.centre, u.DataCentre))
 				if !ok {
 					continue
 				}
@@ -310,20 +311,13 @@
 }
 
 // cost returns the time in ms that a part adds to a generation, and whether the part has room.
-func (b *Board) cost(c *candidate, n *Need, layers fleet.Range, centre string) (float64, bool) {
+func (c *candidate) cost(n *Need, layers fleet.Range, centre string, p pipe) (float64, bool) {
 	need := (n.Prompt + n.Output) * float64(layers.Len())
-	if need > c.room || layers.From == 0 && c.noFirst {
+	if need > c.room || layers.From == 0 && c.noFirst || p.shut {
 		return 0, false
 	}
-	wait := time.Duration(0)
-	if centre != "" && centre != c.upstream.DataCentre {
-		if !b.mayCross(n, centre, c.upstream.DataCentre) {
-			return 0, false
-		}
-		wait = b.pipeWait(n.Engine, centre, c.upstream.DataCentre)
-	}
 	read, pass := c.times(n, layers, centre)
-	read += wait
+	read += p.wait
 	fullness := 1 - c.room/c.total // the same for all parts, so that cutting a part in two gains nothing
 	price := (float64(scarcity)*fullness*fullness + float64(crowding)*c.writers) * float64(layers.Len()) / float64(n.Engine.Layers)
 	if layers.From == 0 && c.upstream.DataCentre != n.DataCentre {
@@ -332,7 +326,7 @@
 	if layers.From == 0 && c.cold {
 		price += float64(coldFirst)
 	}
-	if centre != "" && centre != c.upstream.DataCentre {
+	if crosses(centre, c.upstream.DataCentre) {
 		price += float64(crossing)
 	}
 	passes := n.Output / float64(n.Engine.Stride)
@@ -352,7 +346,7 @@
 	ahead := c.reading / float64(max(1, c.upstream.Layers.Len()))
 	reading := (ahead+n.Prompt)/rate*second + float64(e.Pairs)*n.Prompt*n.Prompt/2/perPairs*c.card.Read*share
 	pass = e.Pass(c.card, layers.Len(), c.writers+1, context)
-	if centre != "" && centre != c.upstream.DataCentre {
+	if crosses(centre, c.upstream.DataCentre) {
 		pass += time.Duration(e.Stride) * e.Delay
 		reading += float64(e.Delay + transfer(e, n.Prompt))
 	}
@@ -383,7 +377,7 @@
 		read, pass := c.times(n, h.Layers, centre)
 		e.First += read
 		e.Pause += pass + c.readBetween(n.Engine, h.Layers)
-		if centre != "" && centre != h.Upstream.DataCentre {
+		if crosses(centre, h.Upstream.DataCentre) {
 			wait := b.pipeWait(n.Engine, centre, h.Upstream.DataCentre)
 			e.First += wait
 			e.Pause += wait
--- a/core/board/pipe.go
+++ b/core/board/pipe.go
@@ -50,6 +50,29 @@
 	return transfer(e, (s.reading+s.others.Reading)/float64(max(1, e.Layers)))
 }
 
+// pipe is what a search knows of the way to a data centre.
+type pipe struct {
+	shut bool          // no prompt may cross now
+	wait time.Duration // behind the prompts on it
+}
+
+// pipeTo returns the way from the data centre that ran the layers before, or "", looked at once a search.
+func (b *Board) pipeTo(known map[[2]string]pipe, n *Need, from, to string) pipe {
+	if !crosses(from, to) {
+		return pipe{}
+	}
+	k := [2]string{from, to}
+	p, ok := known[k]
+	if !ok {
+		p = pipe{shut: !b.mayCross(n, from, to), wait: b.pipeWait(n.Engine, from, to)}
+		known[k] = p
+	}
+	return p
+}
+
+// crosses reports whether a step of a path leads to another data centre; the first comes from none.
+func crosses(from, to string) bool { return from != "" && from != to }
+
 // mayCross reports whether a prompt may cross the pipe between two data centres now.
 func (b *Board) mayCross(n *Need, from, to string) bool {
 	took := transfer(n.Engine, n.Prompt)
--- a/core/board/refuse_test.go
+++ b/core/board/refuse_test.go
@@ -22,7 +22,7 @@
 		{"it refused this node a while ago", func(b *Board, c *clock) { b.Full(u); c.sleep(fullTime) }, true},
 		{"it refused one other, who may have asked for much", func(b *Board, _ *clock) { tell(b, "x") }, true},
 		{"it refused two others", func(b *Board, _ *clock) { tell(b, "x"); tell(b, "y") }, false},
-		{"it refused two others a while ago", func(b *Board, c *clock) { tell(b, "x"); tell(b, "y"); c.sleep(fullLife) }, true},
+		{"it refused two others a while ago", func(b *Board, c *clock) { tell(b, "x"); tell(b, "y"); c.sleep(refusersLife) }, true},
 		{"it refused two others, who say so no longer", func(b *Board, _ *clock) {
 			tell(b, "x")
 			tell(b, "y")
--- a/core/carry/fake_test.go
+++ b/core/carry/fake_test.go
@@ -226,11 +226,17 @@
 	Errorf(string, ...any)
 }, body string, first, last int) {
 	t.Helper()
-	var want strings.Builder
-	for i := first; i <= last; i++ {
-		want.WriteString(eventText(i))
-	}
-	if body != want.String() {
+	want := eventTexts(first, last)
+	if body != want {
 		t.Errorf("the caller got %q, want events %d to %d", body, first, last)
 	}
 }
+
+// eventTexts returns the events from the first to the last.
+func eventTexts(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		b.WriteString(eventText(i))
+	}
+	return b.String()
+}
--- a/core/carry/repair_test.go
+++ b/core/carry/repair_test.go
@@ -130,7 +130,7 @@
 		}
 	default:
 		last := strings.Count(body, "\n\n") - 1
-		if want := eventTexts(last); body != want {
+		if want := eventTexts(0, last); body != want {
 			return fmt.Errorf("the caller got %q, not events 0 to %d", body, last)
 		}
 		if err == nil && last != lastEvent {
@@ -145,12 +145,3 @@
 	}
 	return nil
 }
-
-// eventTexts returns the events from the first to a last one.
-func eventTexts(last int) string {
-	var b strings.Builder
-	for i := range last + 1 {
-		b.WriteString(eventText(i))
-	}
-	return b.String()
-}
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -55,7 +55,7 @@
 	if e.ReadPerSecond <= 0 {
 		return math.MaxFloat64 // not told: reading decides nothing
 	}
-	chunk := e.Chunk / e.ReadPerSecond * c.Read * e.part(layers)
+	chunk := e.reading(c, layers, e.Chunk)
 	pass := 0.0
 	if writers >= 1 {
 		pass = e.Pass(c, layers, writers, context).Seconds()
@@ -68,7 +68,12 @@
 	if e.ReadPerSecond <= 0 {
 		return 0 // not told: reading decides nothing
 	}
-	return time.Duration(tokens / e.ReadPerSecond * c.Read * e.part(layers) * float64(time.Second))
+	return time.Duration(e.reading(c, layers, tokens) * float64(time.Second))
+}
+
+// reading returns the seconds that a card reads tokens through a number of layers.
+func (e *Engine) reading(c Card, layers int, tokens float64) float64 {
+	return tokens / e.ReadPerSecond * c.Read * e.part(layers)
 }
 
 func (e *Engine) part(layers int) float64 { return float64(layers) / float64(e.Layers) }
