--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -1,7 +1,9 @@
 package crash
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -24,6 +26,8 @@
 	}
 	if r.isLikelyCause(f, rec) {
 		rec.quarantineEnd = now.Add(r.quarantine)
+		r.log.Info("quarantine", "fingerprint", string(f), "upstreams", strings.Join(slices.Sorted(maps.Keys(rec.marks)), " "),
+			"for-ms", r.quarantine.Milliseconds())
 	}
 	return rec.quarantineEnd.After(now)
 }
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 // Constants of crash detection.
@@ -56,8 +58,15 @@
 	running    map[Fingerprint]*runningRequest
 	deaths     map[string]death // by upstream, the latest
 	cleared    map[Fingerprint]clearance
+	log        logr.Logger
 }
 
+// Option configures a Registry.
+type Option func(*Registry)
+
+// WithLogger sets the logger of marks and quarantines; by default they are not logged.
+func WithLogger(log logr.Logger) Option { return func(r *Registry) { r.log = log } }
+
 // clearance withdraws all marks with a lower stamp, which a node that was out of contact may still send.
 type clearance struct {
 	stamp uint64
@@ -72,8 +81,11 @@
 }
 
 // NewRegistry returns an empty registry; stamp returns increasing values that order marks across nodes.
-func NewRegistry(now func() time.Time, stamp func() uint64, quarantine time.Duration) *Registry {
-	return &Registry{
+func NewRegistry(
+	now func() time.Time, stamp func() uint64, quarantine time.Duration, opts ...Option,
+) *Registry {
+	r := &Registry{
+		log:        logr.Discard(),
 		now:        now,
 		stamp:      stamp,
 		cleared:    make(map[Fingerprint]clearance),
@@ -82,6 +94,10 @@
 		running:    make(map[Fingerprint]*runningRequest),
 		deaths:     make(map[string]death),
 	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
 }
 
 // SetQuarantine changes how long a quarantine lasts.
@@ -214,6 +230,7 @@
 	if r.cleared[m.Fingerprint].stamp >= m.Stamp {
 		return
 	}
+	r.log.Info("crash-cleared", "fingerprint", string(m.Fingerprint), "stamp", m.Stamp)
 	r.cleared[m.Fingerprint] = clearance{stamp: m.Stamp, at: now}
 	delete(r.records, m.Fingerprint)
 }
@@ -224,7 +241,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := Mark{Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp(), Symptom: symptom}
-	return m, r.mark(m)
+	return m, r.mark(m, "own")
 }
 
 // ApplyMark applies a mark from another node.
@@ -238,13 +255,15 @@
 	if m.Stamp <= r.cleared[m.Fingerprint].stamp {
 		return
 	}
-	r.mark(m)
+	r.mark(m, "gossip")
 }
 
-// mark applies m unless the death is part of a correlated failure, and reports whether it did.
-func (r *Registry) mark(m Mark) bool {
+// mark applies m unless the death is part of a correlated failure, and reports whether it did. The source of the mark is
+// logged.
+func (r *Registry) mark(m Mark, source string) bool {
 	now := r.now()
 	if r.isCorrelatedFailure(m, now) {
+		r.logMark(m, source, "correlated-failure")
 		return false
 	}
 	d := r.deaths[m.Upstream]
@@ -259,10 +278,18 @@
 		r.records[m.Fingerprint] = rec
 	}
 	r.notifyRunning(m)
+	if _, ok := rec.marks[m.Upstream]; !ok {
+		r.logMark(m, source, "marked")
+	}
 	rec.marks[m.Upstream] = deathMark{at: now, symptom: m.Symptom}
 	return true
 }
 
+func (r *Registry) logMark(m Mark, source, outcome string) {
+	r.log.Info("crash-mark", "fingerprint", string(m.Fingerprint), "upstream", m.Upstream, "source", source,
+		"stamp", m.Stamp, "symptom", m.Symptom.String(), "outcome", outcome)
+}
+
 // Entry is a quarantined request as operators see it.
 type Entry struct {
 	Fingerprint Fingerprint   `json:"fingerprint"`
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"rhubarbspread/core/crash"
+
+	"github.com/go-logr/logr/funcr"
 )
 
 // death is the death of an upstream while it ran a request.
@@ -89,3 +92,33 @@
 		}
 	})
 }
+
+// TestMarksAndQuarantinesAreLogged checks that the log tells a mark made here from one of another node, a death that was
+// not attributed, and the beginning of a quarantine.
+func TestMarksAndQuarantinesAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines []string
+		log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour, crash.WithLogger(log))
+		r.RecordDeath("p", "u1", "dc-1", crash.BrokeBeforeFirstToken)
+		r.ApplyMark(crash.Mark{Fingerprint: "p", Upstream: "u2", DataCentre: "dc-2", Stamp: 9})
+		for i := range 3 {
+			r.RecordDeath(crash.Fingerprint(fmt.Sprint(i)), fmt.Sprint("v", i), "dc-3", crash.BrokeBeforeFirstToken)
+		}
+		time.Sleep(time.Second)
+		r.Verdict("p")
+		r.Clear("p")
+		logged := strings.Join(lines, "\n")
+		for _, want := range []string{
+			`"crash-mark" "fingerprint"="p" "upstream"="u1" "source"="own"`,
+			`"crash-mark" "fingerprint"="p" "upstream"="u2" "source"="gossip"`,
+			`"upstream"="v2" "source"="own" "stamp"=4 "symptom"="broke-before-first-token" "outcome"="correlated-failure"`,
+			`"quarantine" "fingerprint"="p" "upstreams"="u1 u2"`, `"crash-cleared" "fingerprint"="p"`,
+		} {
+			if !strings.Contains(logged, want) {
+				t.Errorf("no line with %s in\n%s", want, logged)
+			}
+		}
+	})
+}
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -76,6 +76,15 @@
 	WentSilent                           // no data arrived any more, which a network partition causes as well
 )
 
+// String returns the symptom's name as logs show it.
+func (s Symptom) String() string {
+	names := [...]string{"broke-before-first-token", "broke-after-tokens", "went-silent"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
 // SymptomOf returns the symptom of a death by whether the upstream went silent and whether the request had progressed.
 func SymptomOf(silent, progressed bool) Symptom {
 	switch {
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -84,7 +84,8 @@
 	n.pool = hop.NewPool(func() { n.stats.Count("connections-to-upstreams") })
 	n.engines = p.NewEngines(n.pool)
 	clock := event.NewClock(time.Now)
-	crashes := crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime)
+	crashes := crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime,
+		crash.WithLogger(n.log))
 	n.mesh = mesh.New(mesh.Config{
 		Node: c.Node, DataCentre: c.DataCentre, DatagramAddress: c.DatagramAddress, RPCAddress: c.RPCAddress,
 	}, n.board, n.storeState, n.otherNodes, &crashMarks{crashes, clock}, n.budget, n.log)
@@ -95,6 +96,7 @@
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
 	n.stats.Gauge("requests-active", func() any { return n.activeRequests.Load() })
+	n.stats.Gauge("quarantines", func() any { return len(crashes.List()) })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
 	return n
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -27,7 +27,9 @@
 const (
 	gossipPeriod = 150 * time.Millisecond // between datagrams to one node
 	fetchTimeout = 800 * time.Millisecond
-	thousand     = 1000 // claims are sent in thousands of tokens times layers, slowdowns in thousandths
+	// failureLogPeriod is the least time between log lines on datagrams that can't be sent.
+	failureLogPeriod = time.Second
+	thousand         = 1000 // claims are sent in thousands of tokens times layers, slowdowns in thousandths
 )
 
 // StoreState is the store's data that a node has.
@@ -279,6 +281,7 @@
 // send sends this node's state to other nodes once a period.
 func (m *Mesh) send(ctx context.Context, conn *net.UDPConn) error {
 	sequence := uint32(0)
+	var loggedAt time.Time
 	for ctx.Err() == nil {
 		sequence++
 		for _, d := range m.datagrams(m.digest(sequence), m.knownNodes()) {
@@ -287,7 +290,11 @@
 				return err
 			}
 			// A failure to send is like a lost datagram: the next one carries the whole state again.
-			_, _ = conn.WriteToUDPAddrPort(raw, d.to)
+			_, err = conn.WriteToUDPAddrPort(raw, d.to)
+			if err != nil && time.Since(loggedAt) >= failureLogPeriod {
+				loggedAt = time.Now()
+				m.log.Info("datagram-failed", "to", d.to.String(), "bytes", len(raw), "cause", err.Error())
+			}
 		}
 		select {
 		case <-time.After(gossipPeriod):
