Reproduce the crashing request that is sent on after its third upstream

Two tests play a request that crashes each upstream that runs it, at random nodes of a group that gossips through relays, each node at its own phase of the period, as nodes do. Bound: the users' three sends later than 4 s after the third crash. With all nodes at one phase the first test passes, since marks are then 150 ms old between two repetitions: that is how the tests so far missed it.

--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -21,8 +21,8 @@
 // reconnectTimeout is how long an upstream whose connection broke may take to accept another before it counts as dead.
 const reconnectTimeout = 200 * time.Millisecond
 
-// fingerprint returns a hash that copies of a request share: those with the same target, caller and body.
-func (q *Request) fingerprint() crash.Fingerprint {
+// Fingerprint returns a hash that copies of a request share: those with the same target, caller and body.
+func (q *Request) Fingerprint() crash.Fingerprint {
 	return crash.NewFingerprint(q.Method+" "+q.Host+q.URI+" "+q.APIKey, q.Body)
 }
 
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -114,7 +114,7 @@
 // ErrCallerGone.
 func (e *Executor) Run(ctx context.Context, q *Request, sink Sink) error {
 	r := &run{executor: e, request: q, sink: sink, lastEventID: noID, lastEventText: q.LastEventID,
-		started: time.Now(), fingerprint: q.fingerprint()}
+		started: time.Now(), fingerprint: q.Fingerprint()}
 	e.budget.RecordFirstAttempt(q.Service.Name)
 	ctx, cancel := context.WithDeadline(ctx, q.ExpiresAt)
 	defer cancel()
--- /dev/null
+++ b/io/mesh/crasher_test.go
@@ -0,0 +1,270 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/proxy"
+	"rhubarbspread/core/rules"
+
+	"github.com/go-logr/logr"
+)
+
+// Targets and conditions of the tests with a crashing request.
+const (
+	crashesBeforeBound = 3               // crashes after which the bound on retries applies
+	maxLateSends       = 3               // sends after that many crashes and settleTime
+	settleTime         = 4 * time.Second // for nodes to learn of the crashes
+	upstreamDownTime   = 3 * time.Second // until a crashed upstream is back
+	crasherDuration    = 30 * time.Second
+	crasherNodes       = 24 // enough for relays
+	ticksPerPeriod     = 10 // each node sends its datagrams in a tick of its own
+	crasherBody        = "crash"
+)
+
+// crasherFleet is a group of nodes in front of upstreams that one request crashes.
+type crasherFleet struct {
+	*group
+	executors []*proxy.Executor
+	ticks     []int // in which each node sends its datagrams
+	random    *rand.Rand
+	requests  sync.WaitGroup
+
+	mu        sync.Mutex
+	downUntil map[string]time.Time     // by upstream
+	crashed   map[string]chan struct{} // by upstream; closed when it crashes
+	crashes   []time.Time
+	lateSends int
+	failed    int // requests other than the crashing one that got no answer
+}
+
+func newCrasherFleet(t *testing.T, nodes int, seed uint64) *crasherFleet {
+	f := &crasherFleet{
+		group: newGroup(t, nodes, "a", "b", "c", "d"), downUntil: make(map[string]time.Time),
+		crashed: make(map[string]chan struct{}), random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	f.upstreams = nil
+	for i := range 40 {
+		f.upstreams = append(f.upstreams, &fleet.Upstream{
+			ID: fmt.Sprintf("u%d", i), DataCentre: string(rune('a' + i%4)), Slots: 100, Address: fmt.Sprintf("10.1.0.%d:80", i),
+		})
+	}
+	f.executors = make([]*proxy.Executor, nodes)
+	for i := range f.nodes {
+		f.ticks = append(f.ticks, f.random.IntN(ticksPerPeriod))
+		f.restart(i)
+	}
+	return f
+}
+
+// restart replaces a node by one that knows nothing.
+func (f *crasherFleet) restart(i int) {
+	m := f.newMember(i, len(f.nodes), f.nodes[i].dataCentre)
+	f.nodes[i] = m
+	view := &nodeView{f, i, time.Now()}
+	f.executors[i] = proxy.New(proxy.Dependencies{
+		Transport: view, Board: m.board, Fleet: view, Budget: m.budget, Crashes: m.crashes, Broadcast: m.BroadcastMark,
+		Meter: view, Log: logr.Discard(),
+	})
+}
+
+// run sends copies of the crashing request and other requests to random nodes while the nodes exchange datagrams; each
+// is called before each period.
+func (f *crasherFleet) run(each func(period int)) {
+	for period := range int(crasherDuration / gossipPeriod) {
+		each(period)
+		for tick := range ticksPerPeriod {
+			if f.random.IntN(4*ticksPerPeriod) == 0 {
+				f.ask(f.random.IntN(len(f.nodes)), crasherBody)
+			}
+			if tick%3 == 0 {
+				f.ask(f.random.IntN(len(f.nodes)), fmt.Sprintf("%d-%d", period, tick))
+			}
+			for i, m := range f.nodes {
+				if f.ticks[i] == tick {
+					f.deliverFrom(m, uint32(period+1))
+				}
+			}
+			time.Sleep(gossipPeriod / ticksPerPeriod)
+		}
+	}
+	f.requests.Wait()
+}
+
+// ask sends a request to a node.
+func (f *crasherFleet) ask(node int, body string) {
+	q := &proxy.Request{
+		CallerHeaders: proxy.CallerHeaders{ID: body}, Method: http.MethodPost, URI: "/", Body: []byte(body),
+		Route:   &rules.Route{Name: "r", Kind: rules.Idempotent, MaxAttempts: 2},
+		Service: &rules.Service{Name: "s"}, ExpiresAt: time.Now().Add(20 * time.Second),
+	}
+	executor := f.executors[node]
+	f.requests.Go(func() {
+		if err := executor.Run(f.t.Context(), q, discardSink{}); err != nil && body != crasherBody {
+			f.mu.Lock()
+			f.failed++
+			f.mu.Unlock()
+		}
+	})
+}
+
+// check fails if the crashing request was sent too often after its third crash, or another one is in quarantine.
+func (f *crasherFleet) check() {
+	f.t.Helper()
+	if len(f.crashes) < crashesBeforeBound-1 {
+		f.t.Errorf("%d upstreams crashed: the test exercises nothing", len(f.crashes))
+	}
+	if f.lateSends > maxLateSends {
+		f.t.Errorf("sent %d times later than %v after the third crash, want at most %d; %d upstreams crashed in all",
+			f.lateSends, settleTime, maxLateSends, len(f.crashes))
+	}
+	crasher := (&proxy.Request{Method: http.MethodPost, URI: "/", Body: []byte(crasherBody)}).Fingerprint()
+	for _, m := range f.nodes {
+		for _, e := range m.crashes.List() {
+			if e.Fingerprint != crasher {
+				f.t.Errorf("%s quarantined another request", m.config.Node)
+			}
+		}
+	}
+}
+
+// nodeView gives one node's executor its fleet and its connections to upstreams.
+type nodeView struct {
+	fleet     *crasherFleet
+	node      int
+	startedAt time.Time
+}
+
+func (v *nodeView) Upstreams(string) []*fleet.Upstream               { return v.fleet.upstreams }
+func (v *nodeView) DataCentre() string                               { return v.fleet.nodes[v.node].dataCentre }
+func (v *nodeView) Versions() (configuration, list uint64)           { return 1, 1 }
+func (v *nodeView) Count(string)                                     {}
+func (v *nodeView) Observe(string, time.Duration)                    {}
+func (v *nodeView) HasConnection(*fleet.Upstream) bool               { return true }
+func (v *nodeView) Probe(_ context.Context, u *fleet.Upstream) error { return v.fleet.dial(u) }
+func (v *nodeView) Send(ctx context.Context, s *proxy.Send) (*proxy.Answer, error) {
+	if err := v.fleet.dial(s.Upstream); err != nil {
+		return nil, proxy.NewSendError(false, err)
+	}
+	crashed := v.fleet.beginAt(s.Upstream)
+	if string(s.Body) == crasherBody {
+		time.Sleep(20 * time.Millisecond)
+		v.fleet.crash(s.Upstream, v.startedAt)
+	}
+	select {
+	case <-crashed:
+		return nil, proxy.NewSendError(true, errors.New("connection reset"))
+	case <-time.After(200 * time.Millisecond):
+		return &proxy.Answer{AnswerInfo: proxy.AnswerInfo{Sealed: true}, Status: http.StatusOK, Header: http.Header{},
+			Body: io.NopCloser(strings.NewReader("done"))}, nil
+	case <-ctx.Done():
+		return nil, proxy.NewSendError(true, ctx.Err())
+	}
+}
+
+// dial returns an error while an upstream is down.
+func (f *crasherFleet) dial(u *fleet.Upstream) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Now().Before(f.downUntil[u.ID]) {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+// beginAt returns a channel that closes when an upstream crashes.
+func (f *crasherFleet) beginAt(u *fleet.Upstream) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crashed[u.ID] == nil {
+		f.crashed[u.ID] = make(chan struct{})
+	}
+	return f.crashed[u.ID]
+}
+
+// crash crashes an upstream and counts the send; a node that started within settleTime is not held to the bound.
+func (f *crasherFleet) crash(u *fleet.Upstream, nodeStartedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if len(f.crashes) >= crashesBeforeBound && now.Sub(f.crashes[crashesBeforeBound-1]) > settleTime &&
+		now.Sub(nodeStartedAt) > settleTime {
+		f.lateSends++
+	}
+	if f.crashed[u.ID] == nil {
+		return // another copy crashed it
+	}
+	close(f.crashed[u.ID])
+	delete(f.crashed, u.ID)
+	f.downUntil[u.ID] = now.Add(upstreamDownTime)
+	f.crashes = append(f.crashes, now)
+}
+
+// discardSink drops an answer.
+type discardSink struct{}
+
+func (discardSink) Begin(int, http.Header) {}
+func (discardSink) Write([]byte) error     { return nil }
+
+// TestRepeatedMarksDoNotDelayQuarantine guards against a crashing request that is sent on while gossip repeats its marks.
+func TestRepeatedMarksDoNotDelayQuarantine(t *testing.T) {
+	for _, nodes := range []int{5, crasherNodes} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d nodes, seed %d", nodes, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newCrasherFleet(t, nodes, seed)
+					f.run(func(int) {})
+					f.check()
+				})
+			})
+		}
+	}
+}
+
+// TestRestartedNodesRefuseCrashingRequest guards against nodes that lose the quarantine when they restart.
+func TestRestartedNodesRefuseCrashingRequest(t *testing.T) {
+	const first, pause = 60, 3 // periods until the first restart, and between two
+	tests := []struct {
+		name     string
+		restarts func(period int) (from, to int) // nodes that restart before a period
+	}{
+		{"half of the nodes at once", func(period int) (int, int) {
+			if period != first {
+				return 0, 0
+			}
+			return 0, crasherNodes / 2
+		}},
+		{"one node after the other", func(period int) (int, int) {
+			i := (period - first) / pause
+			if period < first || period%pause != 0 || i >= crasherNodes {
+				return 0, 0
+			}
+			return i, i + 1
+		}},
+	}
+	for _, tc := range tests {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newCrasherFleet(t, crasherNodes, seed)
+					f.run(func(period int) {
+						for from, to := tc.restarts(period); from < to; from++ {
+							f.restart(from)
+						}
+					})
+					f.check()
+				})
+			})
+		}
+	}
+}
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -38,11 +38,15 @@
 	// isUnlisted is set for a node that is not yet in the other nodes' list.
 	isUnlisted    bool
 	receivedMarks []crash.Mark
+	crashes       *crash.Registry
 	budget        *retry.Window
 }
 
-// ApplyMark records a mark.
-func (m *member) ApplyMark(mark crash.Mark) { m.receivedMarks = append(m.receivedMarks, mark) }
+// ApplyMark records a mark and applies it.
+func (m *member) ApplyMark(mark crash.Mark) {
+	m.receivedMarks = append(m.receivedMarks, mark)
+	m.crashes.ApplyMark(mark)
+}
 
 // newGroup returns n nodes spread over data centres, and four upstreams in the first of these.
 func newGroup(t *testing.T, n int, dataCentres ...string) *group {
@@ -51,22 +55,30 @@
 		g.upstreams = append(g.upstreams, &fleet.Upstream{ID: fmt.Sprintf("u%d", i), DataCentre: dataCentres[0], Slots: 1000})
 	}
 	for i := range n {
-		m := &member{
-			address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
-			dataCentre: dataCentres[i%len(dataCentres)], board: board.New(board.WithSeed(uint64(i))),
-		}
-		m.budget = retry.NewWindow(0.2, 100, 10*time.Second)
-		m.budget.SetNodes(n)
-		m.board.SetUpstreams(fleet.NewList(1, g.upstreams))
-		name := fmt.Sprintf("node-%d", i)
-		m.Mesh = New(Config{Node: name, DataCentre: m.dataCentre, DatagramAddress: m.address.String()}, m.board,
-			func() StoreState { return StoreState{RulesVersion: uint64(i)} },
-			func() map[string]Node { return g.others(name) }, m, m.budget, logr.Discard())
-		g.nodes = append(g.nodes, m)
+		g.nodes = append(g.nodes, g.newMember(i, n, dataCentres[i%len(dataCentres)]))
 	}
 	return g
 }
 
+// newMember returns node i of n, which knows nothing yet.
+func (g *group) newMember(i, n int, dataCentre string) *member {
+	m := &member{
+		address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
+		dataCentre: dataCentre, board: board.New(board.WithSeed(uint64(i))),
+	}
+	m.budget = retry.NewWindow(0.2, 100, 10*time.Second)
+	m.budget.SetNodes(n)
+	m.board.SetUpstreams(fleet.NewList(1, g.upstreams))
+	name := fmt.Sprintf("node-%d", i)
+	stamp := uint64(0)
+	m.crashes = crash.NewRegistry(time.Now, func() uint64 { stamp = max(stamp+1, uint64(time.Now().UnixNano())); return stamp },
+		time.Hour)
+	m.Mesh = New(Config{Node: name, DataCentre: m.dataCentre, DatagramAddress: m.address.String()}, m.board,
+		func() StoreState { return StoreState{RulesVersion: uint64(i)} },
+		func() map[string]Node { return g.others(name) }, m, m.budget, logr.Discard())
+	return m
+}
+
 // others returns the nodes that a node's list contains.
 func (g *group) others(name string) map[string]Node {
 	m := make(map[string]Node)
@@ -81,28 +93,33 @@
 // deliver sends and delivers the datagrams of one period.
 func (g *group) deliver(sequence uint32) {
 	for _, from := range g.nodes {
-		if from.isStopped {
-			continue
+		g.deliverFrom(from, sequence)
+	}
+	time.Sleep(gossipPeriod)
+}
+
+// deliverFrom sends and delivers the datagrams of one node in one period.
+func (g *group) deliverFrom(from *member, sequence uint32) {
+	if from.isStopped {
+		return
+	}
+	for _, d := range from.datagrams(from.Mesh.digest(sequence), from.knownNodes()) {
+		raw, err := proto.Marshal(d.digest)
+		if err != nil {
+			g.t.Fatal(err)
 		}
-		for _, d := range from.datagrams(from.Mesh.digest(sequence), from.knownNodes()) {
-			raw, err := proto.Marshal(d.digest)
-			if err != nil {
-				g.t.Fatal(err)
-			}
-			g.bytesSent += len(raw)
-			g.datagramsSent[from.config.Node]++
-			for _, to := range g.nodes {
-				if to.address == d.to && !to.isStopped {
-					var received wire.Digest
-					if err := proto.Unmarshal(raw, &received); err != nil {
-						g.t.Fatal(err)
-					}
-					to.handleDigest(&received)
+		g.bytesSent += len(raw)
+		g.datagramsSent[from.config.Node]++
+		for _, to := range g.nodes {
+			if to.address == d.to && !to.isStopped {
+				var received wire.Digest
+				if err := proto.Unmarshal(raw, &received); err != nil {
+					g.t.Fatal(err)
 				}
+				to.handleDigest(&received)
 			}
 		}
 	}
-	time.Sleep(gossipPeriod)
 }
 
 // reserve makes node i reserve capacity for i+1 requests on the first upstream, and returns the number of all requests.
