Apply a crash mark once, however often gossip repeats it

Cause: datagrams repeat each mark for 3 s, and a node took each repetition for a new death. The mark's age started anew every 75 to 150 ms, and a verdict waits until all marks are 100 ms old, so that a node that learnt of the deaths from others did not judge until 3 s after the last of them; with a copy every 3 s or less, somewhere in the fleet, it never did. Besides, a death ignored as part of a correlated failure was marked after all when its mark came again a second later, and repeated marks kept the deaths of innocents fresh for four seconds, which excused later ones.

The registry now remembers each death's latest stamp and ignores a mark that is not newer. The own interface is not affected: its marks are versioned facts, which are applied once.

TestRepeatedMarkIsOneDeath fails without the change (both of its checks).

--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -58,9 +58,22 @@
 	running    map[Fingerprint]*runningRequest
 	deaths     map[string]death // by upstream, the latest
 	cleared    map[Fingerprint]clearance
+	seen       map[deathID]seenMark
 	log        logr.Logger
 }
 
+// deathID identifies the death of an upstream that ran a request.
+type deathID struct {
+	fingerprint Fingerprint
+	upstream    string
+}
+
+// seenMark is the latest mark of a death. Gossip repeats marks, and a repetition is no new death.
+type seenMark struct {
+	stamp uint64
+	at    time.Time
+}
+
 // Option configures a Registry.
 type Option func(*Registry)
 
@@ -93,6 +106,7 @@
 		records:    make(map[Fingerprint]*record),
 		running:    make(map[Fingerprint]*runningRequest),
 		deaths:     make(map[string]death),
+		seen:       make(map[deathID]seenMark),
 	}
 	for _, o := range opts {
 		o(r)
@@ -252,7 +266,7 @@
 		r.applyClearance(m)
 		return
 	}
-	if m.Stamp <= r.cleared[m.Fingerprint].stamp {
+	if m.Stamp <= r.cleared[m.Fingerprint].stamp || m.Stamp <= r.seen[deathID{m.Fingerprint, m.Upstream}].stamp {
 		return
 	}
 	r.mark(m, "gossip")
@@ -262,6 +276,7 @@
 // logged.
 func (r *Registry) mark(m Mark, source string) bool {
 	now := r.now()
+	r.remember(m, now)
 	if r.isCorrelatedFailure(m, now) {
 		r.logMark(m, source, "correlated-failure")
 		return false
@@ -285,6 +300,16 @@
 	return true
 }
 
+// remember records a mark as seen and forgets those that no node sends any more.
+func (r *Registry) remember(m Mark, now time.Time) {
+	for id, s := range r.seen {
+		if now.Sub(s.at) > suspicionTime {
+			delete(r.seen, id)
+		}
+	}
+	r.seen[deathID{m.Fingerprint, m.Upstream}] = seenMark{m.Stamp, now}
+}
+
 func (r *Registry) logMark(m Mark, source, outcome string) {
 	r.log.Info("crash-mark", "fingerprint", string(m.Fingerprint), "upstream", m.Upstream, "source", source,
 		"stamp", m.Stamp, "symptom", m.Symptom.String(), "outcome", outcome)
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -122,3 +122,31 @@
 		}
 	})
 }
+
+// TestRepeatedMarkIsOneDeath guards against a verdict that each repetition of a mark postpones, and against a death that
+// counts after all when its mark is repeated.
+func TestRepeatedMarkIsOneDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := crash.NewRegistry(time.Now, func() uint64 { return 1 }, time.Hour)
+		marks := []crash.Mark{
+			{Fingerprint: "x", Upstream: "v1", DataCentre: "c", Stamp: 3}, {Fingerprint: "y", Upstream: "v2", DataCentre: "c", Stamp: 4},
+			{Fingerprint: "q", Upstream: "v3", DataCentre: "c", Stamp: 5}, // dies with two others
+			{Fingerprint: "p", Upstream: "u1", DataCentre: "a", Stamp: 1}, {Fingerprint: "p", Upstream: "u2", DataCentre: "b", Stamp: 2},
+		}
+		for i := range 40 {
+			if i == 10 {
+				marks = marks[2:] // no node repeats those of x and y any more
+			}
+			for _, m := range marks {
+				r.ApplyMark(m)
+			}
+			time.Sleep(75 * time.Millisecond)
+		}
+		if _, ok := r.Verdict("p").(crash.Quarantined); !ok {
+			t.Error("a request with two deaths is not in quarantine while its marks are repeated")
+		}
+		if _, ok := r.Verdict("q").(crash.Clear); !ok {
+			t.Error("a request is suspected of a correlated failure whose mark was repeated")
+		}
+	})
+}
