Judge a crashing request by its settled marks, not when the last one has settled

A verdict waited until every mark of a request was 100 ms old. Now the marks that are 100 ms old suffice; other requests are still held against it with all their marks, so that an innocent's better explanation may be young.

Evidence: TestFurtherDeathsDoNotPostponeQuarantine fails before (8 deaths 60 ms apart, no quarantine) and passes now.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// quarantineDelay is the age that the latest mark must reach before a quarantine begins. It leaves time for marks of
-// other requests, which may explain the same deaths better, to arrive from other nodes.
+// quarantineDelay is the age from which a mark counts for a quarantine. It leaves time for marks of other requests,
+// which may explain the same deaths better, to arrive from other nodes.
 const quarantineDelay = 100 * time.Millisecond
 
 // updateQuarantine quarantines a request if its marks suffice, and reports whether it is in quarantine.
@@ -19,15 +19,10 @@
 	if !rec.quarantineEnd.IsZero() {
 		return false
 	}
-	for _, m := range rec.marks {
-		if now.Sub(m.at) < quarantineDelay {
-			return false
-		}
-	}
-	if r.isLikelyCause(f, rec) {
+	if r.isLikelyCause(f, rec.settled(now)) {
 		rec.quarantineEnd = now.Add(r.quarantine)
-		r.log.Info("quarantine", "fingerprint", string(f), "upstreams", strings.Join(slices.Sorted(maps.Keys(rec.marks)), " "),
-			"for-ms", r.quarantine.Milliseconds())
+		r.log.Info("quarantine", "fingerprint", string(f),
+			"upstreams", strings.Join(slices.Sorted(maps.Keys(rec.marks)), " "), "for-ms", r.quarantine.Milliseconds())
 	}
 	return rec.quarantineEnd.After(now)
 }
@@ -37,6 +32,17 @@
 	return r.count(BrokeBeforeFirstToken) > 0 || len(r.marks) >= crashesToQuarantine
 }
 
+// settled returns a record of the marks that count for a quarantine. Later marks don't postpone it.
+func (r *record) settled(now time.Time) *record {
+	out := &record{marks: make(map[string]deathMark, len(r.marks))}
+	for upstream, m := range r.marks {
+		if now.Sub(m.at) >= quarantineDelay {
+			out.marks[upstream] = m
+		}
+	}
+	return out
+}
+
 // isLikelyCause reports whether enough upstreams died while they ran a request, and no other request explains the same
 // deaths better. If another explains them equally well, one more death is required.
 func (r *Registry) isLikelyCause(f Fingerprint, rec *record) bool {
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -150,3 +150,19 @@
 		}
 	})
 }
+
+// TestFurtherDeathsDoNotPostponeQuarantine guards against a verdict that waits until a burst of crashes is over.
+func TestFurtherDeathsDoNotPostponeQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		for i := range 8 {
+			if _, ok := r.Verdict("p").(crash.Quarantined); ok {
+				return
+			}
+			r.RecordDeath("p", fmt.Sprint("u", i), fmt.Sprint("dc-", i), crash.BrokeBeforeFirstToken)
+			time.Sleep(60 * time.Millisecond)
+		}
+		t.Error("after 8 deaths, one every 60 ms, the request is not in quarantine")
+	})
+}
