Quarantine a crashing request again after its quarantine has ended

A request whose quarantine had run out was never quarantined again until its marks expired, ten minutes after the last of them: with a quarantine shorter than that, or a crash after it, its copies crashed one upstream after the other. The end of a quarantine now withdraws the marks that led to it, with their latest stamp, so that repetitions of them don't count and new deaths do.

Evidence: TestCrashesAfterQuarantineCount fails before (second and third round: two deaths, no quarantine), passes now.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -11,20 +11,22 @@
 // which may explain the same deaths better, to arrive from other nodes.
 const quarantineDelay = 100 * time.Millisecond
 
-// updateQuarantine quarantines a request if its marks suffice, and reports whether it is in quarantine.
+// updateQuarantine quarantines a request if its marks suffice, and reports whether it is in quarantine. The end of a
+// quarantine withdraws its marks, so that further crashes quarantine the request again.
 func (r *Registry) updateQuarantine(f Fingerprint, rec *record, now time.Time) bool {
-	if rec.quarantineEnd.After(now) {
-		return true
-	}
-	if !rec.quarantineEnd.IsZero() {
-		return false
-	}
-	if r.isLikelyCause(f, rec.settled(now)) {
+	if rec.quarantineEnd.IsZero() {
+		if !r.isLikelyCause(f, rec.settled(now)) {
+			return false
+		}
 		rec.quarantineEnd = now.Add(r.quarantine)
 		r.log.Info("quarantine", "fingerprint", string(f),
 			"upstreams", strings.Join(slices.Sorted(maps.Keys(rec.marks)), " "), "for-ms", r.quarantine.Milliseconds())
 	}
-	return rec.quarantineEnd.After(now)
+	if !rec.quarantineEnd.After(now) {
+		r.applyClearance(Mark{Fingerprint: f, Stamp: rec.latestStamp(), Cleared: true})
+		return false
+	}
+	return true
 }
 
 // isStrong reports whether the suspicion is strong enough for all nodes to run the request at one upstream only.
@@ -65,6 +67,15 @@
 	return true
 }
 
+// latestStamp returns the highest stamp of the marks.
+func (r *record) latestStamp() uint64 {
+	latest := uint64(0)
+	for _, m := range r.marks {
+		latest = max(latest, m.stamp)
+	}
+	return latest
+}
+
 // presentAtAllDeathsOf reports whether a request ran on every upstream whose death is a mark of another request.
 func (r *record) presentAtAllDeathsOf(other *record) bool {
 	for upstream := range other.marks {
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -27,6 +27,7 @@
 // deathMark is the death of one upstream that ran a request.
 type deathMark struct {
 	at      time.Time
+	stamp   uint64
 	symptom Symptom
 }
 
@@ -131,12 +132,12 @@
 		duplicateAt = run.upstream
 	}
 	rec := r.records[f]
-	if rec == nil {
-		return Clear{duplicateAt: duplicateAt}
-	}
-	if r.updateQuarantine(f, rec, now) {
+	if rec != nil && r.updateQuarantine(f, rec, now) {
 		return Quarantined{remaining: rec.quarantineEnd.Sub(now)}
 	}
+	if rec = r.records[f]; rec == nil {
+		return Clear{duplicateAt: duplicateAt}
+	}
 	var avoid []string
 	latestAge := time.Duration(suspicionTime)
 	for upstream, m := range rec.marks {
@@ -296,7 +297,7 @@
 	if _, ok := rec.marks[m.Upstream]; !ok {
 		r.logMark(m, source, "marked")
 	}
-	rec.marks[m.Upstream] = deathMark{at: now, symptom: m.Symptom}
+	rec.marks[m.Upstream] = deathMark{at: now, stamp: m.Stamp, symptom: m.Symptom}
 	return true
 }
 
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -166,3 +166,26 @@
 		t.Error("after 8 deaths, one every 60 ms, the request is not in quarantine")
 	})
 }
+
+// TestCrashesAfterQuarantineCount guards against a request that is never quarantined again once a quarantine has ended.
+func TestCrashesAfterQuarantineCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const quarantine = time.Minute
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, quarantine)
+		for round := range 3 {
+			for i := range 2 {
+				m, _ := r.RecordDeath("p", fmt.Sprint("u", i), fmt.Sprint("dc-", i), crash.BrokeBeforeFirstToken)
+				time.Sleep(time.Second)
+				r.ApplyMark(m)
+			}
+			if _, ok := r.Verdict("p").(crash.Quarantined); !ok {
+				t.Errorf("round %d: two upstreams died and the request is not in quarantine", round)
+			}
+			time.Sleep(quarantine)
+			if _, ok := r.Verdict("p").(crash.Clear); !ok {
+				t.Errorf("round %d: the request is not clear after its quarantine", round)
+			}
+		}
+	})
+}
