Tell nodes that lack a quarantine the marks behind it

Callers' crashing request was sent on by nodes that had restarted, joined or been cut off after its quarantine: marks were gossiped for 3 s and never again, and a registry lives in memory. Each such node lost two upstreams before it judged by itself; with half of the nodes restarted every 9 s, that was two upstreams a restart, without end.

Each datagram now names the requests that its sender has in quarantine, four bytes each, and every fourth one repeats the marks of those that some receiver lacks, with the age of each death. A mark's age makes a late quarantine end when the others' do. Marks that a receiver took for a correlated failure count once another node has the request in quarantine. Relays pass each mark on once; before, up to twice.

Weighed: repeating all marks for the length of a quarantine (traffic for ten minutes for what all have); fetching them by an RPC (a connection to a relay for each of many nodes that restart together).

TestNodesThatLackAQuarantineGetItsMarks, with 3 and 40 nodes, also checks that nothing is repeated once all have the marks.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -15,10 +15,12 @@
 // quarantine withdraws its marks, so that further crashes quarantine the request again.
 func (r *Registry) updateQuarantine(f Fingerprint, rec *record, now time.Time) bool {
 	if rec.quarantineEnd.IsZero() {
-		if !r.isLikelyCause(f, rec.settled(now)) {
+		settled := rec.settled(now)
+		if !r.isLikelyCause(f, settled) {
 			return false
 		}
-		rec.quarantineEnd = now.Add(r.quarantine)
+		// Not from now on, since the marks may be old: a restarted node's quarantine ends when those of the others do.
+		rec.quarantineEnd = settled.sufficientAt().Add(r.quarantine)
 		r.log.Info("quarantine", "fingerprint", string(f),
 			"upstreams", strings.Join(slices.Sorted(maps.Keys(rec.marks)), " "), "for-ms", r.quarantine.Milliseconds())
 	}
@@ -45,13 +47,24 @@
 	return out
 }
 
+// requiredDeaths returns how many deaths a quarantine requires.
+func (r *record) requiredDeaths() int {
+	if r.count(WentSilent) > 0 {
+		return crashesToQuarantine + 1
+	}
+	return crashesToQuarantine
+}
+
+// sufficientAt returns when the marks of a record that has enough of them began to suffice.
+func (r *record) sufficientAt() time.Time {
+	marks := slices.SortedFunc(maps.Values(r.marks), func(a, b deathMark) int { return a.at.Compare(b.at) })
+	return marks[r.requiredDeaths()-1].at.Add(quarantineDelay)
+}
+
 // isLikelyCause reports whether enough upstreams died while they ran a request, and no other request explains the same
 // deaths better. If another explains them equally well, one more death is required.
 func (r *Registry) isLikelyCause(f Fingerprint, rec *record) bool {
-	required := crashesToQuarantine
-	if rec.count(WentSilent) > 0 {
-		required++
-	}
+	required := rec.requiredDeaths()
 	if len(rec.marks) < required {
 		return false
 	}
@@ -71,7 +84,7 @@
 func (r *record) latestStamp() uint64 {
 	latest := uint64(0)
 	for _, m := range r.marks {
-		latest = max(latest, m.stamp)
+		latest = max(latest, m.Stamp)
 	}
 	return latest
 }
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -26,16 +26,15 @@
 
 // deathMark is the death of one upstream that ran a request.
 type deathMark struct {
-	at      time.Time
-	stamp   uint64
-	symptom Symptom
+	Mark
+	at time.Time
 }
 
 // count returns the number of deaths with a symptom.
 func (r *record) count(s Symptom) int {
 	n := 0
 	for _, m := range r.marks {
-		if m.symptom == s {
+		if m.Symptom == s {
 			n++
 		}
 	}
@@ -267,24 +266,57 @@
 		r.applyClearance(m)
 		return
 	}
-	if m.Stamp <= r.cleared[m.Fingerprint].stamp || m.Stamp <= r.seen[deathID{m.Fingerprint, m.Upstream}].stamp {
+	if m.Stamp <= r.cleared[m.Fingerprint].stamp || r.isRepeated(m) {
 		return
 	}
 	r.mark(m, "gossip")
 }
 
+// isRepeated reports whether a mark or a later one of the same death was seen before. A mark that was not applied counts
+// as new once another node has the request in quarantine.
+func (r *Registry) isRepeated(m Mark) bool {
+	if m.Stamp > r.seen[deathID{m.Fingerprint, m.Upstream}].stamp {
+		return false
+	}
+	if rec := r.records[m.Fingerprint]; m.Quarantined && rec != nil {
+		_, ok := rec.marks[m.Upstream]
+		return ok
+	}
+	return !m.Quarantined
+}
+
+// Evidence returns the marks of the requests in quarantine, for nodes that may lack them.
+func (r *Registry) Evidence() []Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var out []Mark
+	for f, rec := range r.records {
+		if !r.updateQuarantine(f, rec, now) {
+			continue
+		}
+		for _, m := range rec.marks {
+			mark := m.Mark
+			mark.Age, mark.Quarantined = now.Sub(m.at), true
+			out = append(out, mark)
+		}
+	}
+	return out
+}
+
 // mark applies m unless the death is part of a correlated failure, and reports whether it did. The source of the mark is
 // logged.
 func (r *Registry) mark(m Mark, source string) bool {
 	now := r.now()
+	at := now.Add(-m.Age)
 	r.remember(m, now)
-	if r.isCorrelatedFailure(m, now) {
+	if !m.Quarantined && r.isCorrelatedFailure(m, now) {
 		r.logMark(m, source, "correlated-failure")
 		return false
 	}
 	d := r.deaths[m.Upstream]
-	if now.Sub(d.at) > correlationWindow {
-		d = death{at: now, dataCentre: m.DataCentre}
+	if at.Sub(d.at) > correlationWindow {
+		d = death{at: at, dataCentre: m.DataCentre}
 	}
 	d.requests = append(d.requests, m.Fingerprint)
 	r.deaths[m.Upstream] = d
@@ -297,7 +329,7 @@
 	if _, ok := rec.marks[m.Upstream]; !ok {
 		r.logMark(m, source, "marked")
 	}
-	rec.marks[m.Upstream] = deathMark{at: now, stamp: m.Stamp, symptom: m.Symptom}
+	rec.marks[m.Upstream] = deathMark{m, at}
 	return true
 }
 
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -189,3 +189,41 @@
 		}
 	})
 }
+
+// TestEvidenceOfAnotherNodeIsApplied checks that marks of a request that another node has in quarantine count here with
+// their age, also if they were taken for a correlated failure, and that a quarantine that would be over does not begin.
+func TestEvidenceOfAnotherNodeIsApplied(t *testing.T) {
+	const quarantine = 5 * time.Minute
+	tests := []struct {
+		name      string
+		age       time.Duration
+		remaining time.Duration // 0 for no quarantine
+	}{
+		{"deaths of a minute ago", time.Minute, 4*time.Minute + 100*time.Millisecond},
+		{"deaths before the last quarantine", quarantine + time.Second, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := crash.NewRegistry(time.Now, func() uint64 { return 1 }, quarantine)
+				for i := range 4 {
+					r.ApplyMark(crash.Mark{Fingerprint: crash.Fingerprint(fmt.Sprint(i)), Upstream: fmt.Sprint("v", i), DataCentre: "a",
+						Stamp: 1})
+				}
+				for _, quarantined := range []bool{false, true} {
+					for i := range 2 {
+						r.ApplyMark(crash.Mark{Fingerprint: "p", Upstream: fmt.Sprint("u", i), DataCentre: "a", Stamp: 2, Age: tc.age,
+							Quarantined: quarantined})
+					}
+				}
+				verdict, ok := r.Verdict("p").(crash.Quarantined)
+				if ok != (tc.remaining > 0) || ok && verdict.Remaining() != tc.remaining {
+					t.Errorf("in quarantine: %v for %v, want %v", ok, verdict.Remaining(), tc.remaining)
+				}
+				if got, want := len(r.Evidence()), len(r.List())*2; got != want {
+					t.Errorf("%d marks of %d requests in quarantine, want %d", got, len(r.List()), want)
+				}
+			})
+		})
+	}
+}
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -104,4 +104,7 @@
 	Stamp       uint64      `json:"stamp"` // orders marks across nodes
 	Symptom     Symptom     `json:"sign"`
 	Cleared     bool        `json:"cleared"` // an operator or a complete answer removed the suspicion
+
+	Age         time.Duration `json:"-"` // of the death, when the mark was sent
+	Quarantined bool          `json:"-"` // the sender has the request in quarantine
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -104,14 +104,14 @@
 
 // crashMarks applies the marks of other nodes.
 type crashMarks struct {
-	crashes *crash.Registry
-	clock   *event.Clock
+	*crash.Registry
+	clock *event.Clock
 }
 
 // ApplyMark applies a mark of another node.
 func (m *crashMarks) ApplyMark(mark crash.Mark) {
 	m.clock.Observe(event.Stamp(mark.Stamp))
-	m.crashes.ApplyMark(mark)
+	m.Registry.ApplyMark(mark)
 }
 
 // storeState returns the store's data that this node has.
--- /dev/null
+++ b/io/mesh/marks.go
@@ -0,0 +1,107 @@
+package mesh
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rhubarbspread/core/crash"
+	"rhubarbspread/io/mesh/wire"
+)
+
+// Times and limits of the exchange of crash marks.
+const (
+	markRepeatTime = 3 * time.Second // for which a mark is repeated, since datagrams get lost
+	// evidencePeriods is the number of periods between two datagrams with the marks of quarantined requests that a
+	// receiver lacks, as a node does that has restarted or was cut off.
+	evidencePeriods = 4
+	maxEvidence     = 100 // marks of quarantined requests in one datagram
+)
+
+// recentMark is a mark that each datagram repeats for a while.
+type recentMark struct {
+	mark   crash.Mark
+	sentAt time.Time // when it was first sent
+}
+
+// BroadcastMark sends a mark to the other nodes, with the next datagrams.
+func (m *Mesh) BroadcastMark(mark crash.Mark) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recentMarks = append(m.recentMarks, recentMark{mark, time.Now()})
+}
+
+// marksToSend drops old marks and returns the others, and in some periods also the evidence that other nodes lack.
+func (m *Mesh) marksToSend(sequence uint32, evidence []crash.Mark) []*wire.Crash {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recentMarks = slices.DeleteFunc(m.recentMarks, func(r recentMark) bool {
+		return time.Since(r.sentAt) > markRepeatTime
+	})
+	var list []*wire.Crash
+	for _, r := range m.recentMarks {
+		mark := r.mark
+		mark.Age = time.Since(r.sentAt)
+		list = append(list, encodeMark(mark))
+	}
+	if sequence%evidencePeriods != 0 {
+		return list
+	}
+	for _, mark := range m.missingEvidence(evidence) {
+		list = append(list, encodeMark(mark))
+	}
+	return list
+}
+
+// missingEvidence returns the marks of requests that at least one live node does not have in quarantine. The caller
+// holds the lock.
+func (m *Mesh) missingEvidence(evidence []crash.Mark) []crash.Mark {
+	live := 0
+	holders := make(map[uint32]int) // live nodes with a request in quarantine, by the hash of its fingerprint
+	for _, s := range m.peers {
+		if time.Since(s.LastSeen) > peerTTL {
+			continue
+		}
+		live++
+		for _, hash := range s.latest.GetQuarantined() {
+			holders[hash]++
+		}
+	}
+	var missing []crash.Mark
+	for _, mark := range evidence {
+		if holders[fingerprintHash(mark.Fingerprint)] < live && len(missing) < maxEvidence {
+			missing = append(missing, mark)
+		}
+	}
+	return missing
+}
+
+// quarantinedHashes returns the hash of each fingerprint in evidence once.
+func quarantinedHashes(evidence []crash.Mark) []uint32 {
+	hashes := make(map[uint32]bool)
+	for _, mark := range evidence {
+		hashes[fingerprintHash(mark.Fingerprint)] = true
+	}
+	return slices.Collect(maps.Keys(hashes))
+}
+
+func fingerprintHash(f crash.Fingerprint) uint32 { return uint32(f.Key()) }
+
+// applyMarks applies the crash marks in a digest.
+func (m *Mesh) applyMarks(d *wire.Digest) {
+	for _, c := range d.GetCrashes() {
+		m.crashes.ApplyMark(crash.Mark{
+			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
+			Stamp: c.GetStamp(), Symptom: crash.Symptom(c.GetSign()), Cleared: c.GetCleared(),
+			Age: time.Duration(c.GetAgeMs()) * time.Millisecond, Quarantined: c.GetQuarantined(),
+		})
+	}
+}
+
+func encodeMark(mark crash.Mark) *wire.Crash {
+	return &wire.Crash{
+		Fingerprint: string(mark.Fingerprint), Upstream: mark.Upstream, DataCentre: mark.DataCentre, Stamp: mark.Stamp,
+		Sign: uint32(mark.Symptom), Cleared: mark.Cleared, AgeMs: uint32(mark.Age.Milliseconds()),
+		Quarantined: mark.Quarantined,
+	}
+}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +43,8 @@
 // CrashRegistry receives the marks that other nodes set on requests that crash upstreams.
 type CrashRegistry interface {
 	ApplyMark(m crash.Mark)
+	// Evidence returns the marks of the requests in quarantine.
+	Evidence() []crash.Mark
 }
 
 // RetryBudget is the retry budget that all nodes share.
@@ -94,37 +95,6 @@
 	recentMarks []recentMark          // made by this node
 }
 
-// recentMark is a mark that each datagram repeats for a while, since datagrams get lost.
-type recentMark struct {
-	mark      crash.Mark
-	expiresAt time.Time
-}
-
-// markRepeatTime is how long a mark is repeated.
-const markRepeatTime = 3 * time.Second
-
-// BroadcastMark sends a mark to the other nodes, with the next datagrams.
-func (m *Mesh) BroadcastMark(mark crash.Mark) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.recentMarks = append(m.recentMarks, recentMark{mark, time.Now().Add(markRepeatTime)})
-}
-
-// marksToSend drops expired marks and returns the others.
-func (m *Mesh) marksToSend() []*wire.Crash {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.recentMarks = slices.DeleteFunc(m.recentMarks, func(r recentMark) bool { return time.Now().After(r.expiresAt) })
-	var list []*wire.Crash
-	for _, r := range m.recentMarks {
-		list = append(list, &wire.Crash{
-			Fingerprint: string(r.mark.Fingerprint), Upstream: r.mark.Upstream, DataCentre: r.mark.DataCentre,
-			Stamp: r.mark.Stamp, Sign: uint32(r.mark.Symptom), Cleared: r.mark.Cleared,
-		})
-	}
-	return list
-}
-
 // peerState holds the latest datagrams of another node.
 type peerState struct {
 	Peer
@@ -245,16 +215,6 @@
 // nodeCount returns how many nodes a digest covers.
 func nodeCount(d *wire.Digest) int { return max(1, int(d.GetNodes())) }
 
-// applyMarks applies the crash marks in a digest.
-func (m *Mesh) applyMarks(d *wire.Digest) {
-	for _, c := range d.GetCrashes() {
-		m.crashes.ApplyMark(crash.Mark{
-			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
-			Stamp: c.GetStamp(), Symptom: crash.Symptom(c.GetSign()), Cleared: c.GetCleared(),
-		})
-	}
-}
-
 // gossipOf returns what a digest states about upstreams.
 func gossipOf(d *wire.Digest) board.Gossip {
 	claims := make(map[uint32]board.Claim, len(d.GetClaims()))
@@ -329,12 +289,13 @@
 // digest returns this node's own digest.
 func (m *Mesh) digest(sequence uint32) *wire.Digest {
 	state := m.storeState()
+	evidence := m.crashes.Evidence()
 	d := &wire.Digest{
 		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence,
 		Rules: state.RulesVersion, List: state.ListVersion,
-		DataCentre: m.config.DataCentre, Plans: state.IsPlanner, Crashes: m.marksToSend(),
+		DataCentre: m.config.DataCentre, Plans: state.IsPlanner, Crashes: m.marksToSend(sequence, evidence),
 		Address: m.config.DatagramAddress, Questions: m.config.RPCAddress, Resting: m.board.FailedHashes(),
-		Refusing: m.board.RefusingHashes(),
+		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -48,6 +48,9 @@
 	m.crashes.ApplyMark(mark)
 }
 
+// Evidence returns the marks of the requests in quarantine.
+func (m *member) Evidence() []crash.Mark { return m.crashes.Evidence() }
+
 // newGroup returns n nodes spread over data centres, and four upstreams in the first of these.
 func newGroup(t *testing.T, n int, dataCentres ...string) *group {
 	g := &group{t: t, datagramsSent: make(map[string]int)}
@@ -219,6 +222,51 @@
 	})
 }
 
+// TestNodesThatLackAQuarantineGetItsMarks checks that a node that was cut off while marks were repeated gets those of a
+// quarantined request when it is back, with their age, and that they are not sent once all nodes have them.
+func TestNodesThatLackAQuarantineGetItsMarks(t *testing.T) {
+	for _, n := range []int{3, 40} {
+		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const cutPeriods = 40 // longer than marks are repeated
+				g := newGroup(t, n, "a", "b", "c")
+				first, cut := g.nodes[0], g.nodes[n-1]
+				cut.isStopped = true
+				for i := range 2 {
+					mark, _ := first.crashes.RecordDeath("f", fmt.Sprint("u", i), "a", crash.BrokeBeforeFirstToken)
+					first.BroadcastMark(mark)
+				}
+				for i := range uint32(cutPeriods) {
+					g.deliver(i + 1)
+				}
+				cut.isStopped = false
+				for i := range uint32(10) {
+					g.deliver(cutPeriods + i + 1)
+				}
+				verdict, ok := cut.crashes.Verdict("f").(crash.Quarantined)
+				if !ok {
+					t.Fatal("the node that was cut off does not have the request in quarantine")
+				}
+				want := first.crashes.Verdict("f").(crash.Quarantined).Remaining()
+				if got := verdict.Remaining(); got < want-gossipPeriod || got > want+gossipPeriod {
+					t.Errorf("its quarantine lasts for %v, that of the first node for %v", got, want)
+				}
+				for _, m := range g.nodes {
+					m.receivedMarks = nil
+				}
+				for i := range uint32(10) {
+					g.deliver(cutPeriods + i + 11)
+				}
+				for _, m := range g.nodes {
+					if len(m.receivedMarks) > 0 {
+						t.Errorf("%s still receives %d marks", m.config.Node, len(m.receivedMarks))
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestOldDatagramsChangeNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 2, "a")
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -148,16 +149,23 @@
 	refusing map[uint32]int // nodes that eject an upstream after refusals
 	health   map[uint32]*wire.Health
 	members  map[uint32]int // by the hash of the name
-	crashes  []*wire.Crash
+	crashes  map[crashID]*wire.Crash
 	planners int // nodes that hold the lease
 	retries  map[uint32]*wire.Spent
 	nodes    int // that the sum covers
 }
 
+// crashID identifies a crash mark.
+type crashID struct {
+	fingerprint, upstream string
+	stamp                 uint64
+}
+
 func newDigestSum() *digestSum {
 	return &digestSum{
 		claims: make(map[uint32]*wire.Claim), failed: make(map[uint32]int), health: make(map[uint32]*wire.Health),
 		members: make(map[uint32]int), refusing: make(map[uint32]int), retries: make(map[uint32]*wire.Spent),
+		crashes: make(map[crashID]*wire.Crash),
 	}
 }
 
@@ -203,7 +211,12 @@
 	for _, h := range d.GetHealth() {
 		s.health[h.GetUpstream()] = h
 	}
-	s.crashes = append(s.crashes, d.GetCrashes()...)
+	for _, c := range d.GetCrashes() {
+		id := crashID{c.GetFingerprint(), c.GetUpstream(), c.GetStamp()}
+		if s.crashes[id] == nil || c.GetQuarantined() {
+			s.crashes[id] = c
+		}
+	}
 }
 
 // digest returns the sum as a digest of the relay whose own digest is given, with the given versions.
@@ -211,7 +224,7 @@
 	d := &wire.Digest{
 		Node: own.GetNode(), Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(), DataCentre: own.GetDataCentre(),
 		Questions: own.GetQuestions(), Rules: rulesVersion, List: listVersion, Scope: scope,
-		Crashes: s.crashes, Plans: s.planners > 0, Nodes: uint32(s.nodes),
+		Quarantined: own.GetQuarantined(), Crashes: slices.Collect(maps.Values(s.crashes)), Plans: s.planners > 0, Nodes: uint32(s.nodes),
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
