Keep a row for each request in quarantine

A quarantine lived in the nodes' memory only. What must last belongs into the platform's store.

The lease holder writes a row with the marks of each request in quarantine (at most 16), in the table of the nodes, which each node reads at its start and follows anyway: no further call of a node that reads, one write and one removal for a quarantine. The marks of a row count at once; a node that has only the row begins its quarantine anew, and the marks that other nodes send it afterwards correct nothing, so that it may last up to its length longer there. A row goes when its quarantine has ended at the lease holder for 10 s. A row that can't be read changes nothing and is logged.

--- a/core/store/feed.go
+++ b/core/store/feed.go
@@ -12,7 +12,7 @@
 const (
 	Configuration Topic = iota // one row: the operators' latest configuration
 	Upstreams                  // one row per upstream, written by the upstream
-	Nodes                      // one row per node, written by the node
+	Nodes                      // rows that nodes write: one per node, and one per request in quarantine
 )
 
 // String returns the topic's name as logs show it.
@@ -33,6 +33,6 @@
 	Snapshot(ctx context.Context, t Topic) ([]FeedRow, uint64, error)
 	// Changes waits for rows that changed after a feed version and returns them with the version to continue from.
 	Changes(ctx context.Context, t Topic, since uint64, wait time.Duration) ([]FeedRow, uint64, error)
-	// Announce writes this node's row in the topic Nodes.
-	Announce(ctx context.Context, node string, value []byte) error
+	// Write writes a row of the topic Nodes, or removes it if the value is nil.
+	Write(ctx context.Context, key string, value []byte) error
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -56,6 +55,8 @@
 	lease          *lease.Lease
 	planner        *place.Planner
 	engines        Engines
+	crashes        *crashMarks
+	keeper         *crash.Keeper // used by the goroutine that plans
 	mesh           *mesh.Mesh
 	started        time.Time
 	stopping       atomic.Bool
@@ -81,22 +82,24 @@
 		outage: fleet.NewOutage(c.HeartbeatInterval, expiryGrace),
 	}
 	n.settings.Store(&c)
+	n.keeper = crash.NewKeeper()
 	n.pool = hop.NewPool(func() { n.stats.Count("connections-to-upstreams") })
 	n.engines = p.NewEngines(n.pool)
 	clock := event.NewClock(time.Now)
-	crashes := crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime,
+	n.crashes = &crashMarks{clock: clock}
+	n.crashes.Registry = crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime,
 		crash.WithLogger(n.log))
 	n.mesh = mesh.New(mesh.Config{
 		Node: c.Node, DataCentre: c.DataCentre, DatagramAddress: c.DatagramAddress, RPCAddress: c.RPCAddress,
-	}, n.board, n.storeState, n.otherNodes, &crashMarks{crashes, clock}, n.budget, n.log)
+	}, n.board, n.storeState, n.otherNodes, n.crashes, n.budget, n.log)
 	n.executor = proxy.New(proxy.Dependencies{
 		Transport: &transport{pool: n.pool, headers: p.Headers, node: n}, Engines: n.engines, Board: n.board, Fleet: n,
-		Budget: n.budget, Crashes: crashes, Broadcast: n.mesh.BroadcastMark, Meter: n.stats, Log: n.log,
+		Budget: n.budget, Crashes: n.crashes, Broadcast: n.mesh.BroadcastMark, Meter: n.stats, Log: n.log,
 	})
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
 	n.stats.Gauge("requests-active", func() any { return n.activeRequests.Load() })
-	n.stats.Gauge("quarantines", func() any { return len(crashes.List()) })
+	n.stats.Gauge("quarantines", func() any { return len(n.crashes.List()) })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
 	return n
@@ -335,66 +338,3 @@
 	running.start("lease", func() error { return <-leaseDone })
 	return running
 }
-
-// announce writes this node's row to the store, with retries until that succeeds.
-func (n *Node) announce(ctx context.Context) error {
-	raw, err := json.Marshal(nodeRow{Address: n.config.DatagramAddress, DataCentre: n.config.DataCentre})
-	if err != nil {
-		return err
-	}
-	for ctx.Err() == nil {
-		if err := n.platform.Feed.Announce(ctx, n.config.Node, raw); err == nil {
-			return nil
-		}
-		sleep(ctx, maxRetryBackoff)
-	}
-	return nil
-}
-
-// plan runs the placement planner, which acts only while this node holds the lease.
-func (n *Node) plan(ctx context.Context) error {
-	n.awaitFleet(ctx)
-	for ctx.Err() == nil {
-		if v := n.view.Load(); v != nil && v.Rules != nil {
-			for _, s := range v.Rules.Engines() {
-				n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.IsSuspected)
-			}
-		}
-		sleep(ctx, planInterval)
-	}
-	return nil
-}
-
-// awaitFleet waits until the number of listed upstreams has not changed for more than a heartbeat interval, or the
-// longest wait is over: a plan for a part of the fleet gives its upstreams too many layers.
-func (n *Node) awaitFleet(ctx context.Context) {
-	count, changedAt := 0, time.Now()
-	for ctx.Err() == nil && time.Since(n.started) < maxFleetWait {
-		sleep(ctx, planInterval)
-		if v := n.view.Load(); v != nil && v.List.Len() != count {
-			count, changedAt = v.List.Len(), time.Now()
-		}
-		if count > 0 && time.Since(changedAt) > n.config.HeartbeatInterval+planInterval {
-			return
-		}
-	}
-}
-
-// sweep closes idle connections of callers and unneeded connections to upstreams.
-func (n *Node) sweep(ctx context.Context) error {
-	for ctx.Err() == nil {
-		sleep(ctx, sweepInterval)
-		v := n.view.Load()
-		if v != nil && v.Rules != nil {
-			n.closeIdle(v.Rules.Limits().IdleTimeout)
-		}
-		n.pool.Sweep(func(t hop.Target) bool {
-			if v == nil {
-				return true
-			}
-			u := v.List.Get(t.ID)
-			return u != nil && u.Address == t.Address
-		})
-	}
-	return nil
-}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"rhubarbspread/core/crash"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
@@ -20,6 +21,8 @@
 	List     *fleet.List
 	Rows     []store.FeedRow      // entries of the upstreams, for other nodes
 	Nodes    map[string]mesh.Node // other nodes in the store's list
+	// Quarantines holds the requests in quarantine that have a row.
+	Quarantines map[crash.Fingerprint]bool
 }
 
 // change holds changed rows of a topic for the control goroutine.
@@ -41,12 +44,14 @@
 	rules       *rules.Rules
 	rawRules    []byte
 	nodes       map[string]mesh.Node
+	quarantines map[crash.Fingerprint]bool // those that have a row; replaced when it changes
 }
 
 func newControl(n *Node) *control {
 	return &control{
 		node: n, upstreams: make(map[string]*fleet.Upstream), rawEntries: make(map[string][]byte),
 		expiring: make(map[string]time.Time), nodes: make(map[string]mesh.Node),
+		quarantines: make(map[crash.Fingerprint]bool),
 	}
 }
 
@@ -87,8 +92,13 @@
 		c.listVersion = max(c.listVersion, ch.version)
 		c.applyUpstreams(ch)
 	case store.Nodes:
+		if ch.snapshot {
+			c.quarantines = make(map[crash.Fingerprint]bool)
+		}
 		for _, row := range ch.rows {
-			c.applyNode(row)
+			if !c.applyQuarantine(row) {
+				c.applyNode(row)
+			}
 		}
 	}
 }
@@ -213,7 +223,8 @@
 
 // publish replaces the view by the current state and passes that on to the board and the retry budget.
 func (c *control) publish() {
-	v := &View{Rules: c.rules, RawRules: c.rawRules, Nodes: make(map[string]mesh.Node, len(c.nodes))}
+	v := &View{Rules: c.rules, RawRules: c.rawRules, Nodes: make(map[string]mesh.Node, len(c.nodes)),
+		Quarantines: c.quarantines}
 	list := make([]*fleet.Upstream, 0, len(c.upstreams))
 	for _, u := range c.upstreams {
 		list = append(list, u)
--- /dev/null
+++ b/io/entry/tasks.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"rhubarbspread/io/hop"
+)
+
+// announce writes this node's row to the store, with retries until that succeeds.
+func (n *Node) announce(ctx context.Context) error {
+	raw, err := json.Marshal(nodeRow{Address: n.config.DatagramAddress, DataCentre: n.config.DataCentre})
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := n.platform.Feed.Write(ctx, n.config.Node, raw); err == nil {
+			return nil
+		}
+		sleep(ctx, maxRetryBackoff)
+	}
+	return nil
+}
+
+// plan runs the placement planner and keeps the rows of quarantined requests; both act only while this node holds the
+// lease.
+func (n *Node) plan(ctx context.Context) error {
+	n.awaitFleet(ctx)
+	for ctx.Err() == nil {
+		v := n.view.Load()
+		if v != nil && v.Rules != nil {
+			for _, s := range v.Rules.Engines() {
+				n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.IsSuspected)
+			}
+		}
+		if _, held := n.lease.Valid(); held && v != nil {
+			n.keepQuarantines(ctx, v)
+		}
+		sleep(ctx, planInterval)
+	}
+	return nil
+}
+
+// awaitFleet waits until the number of listed upstreams has not changed for more than a heartbeat interval, or the
+// longest wait is over: a plan for a part of the fleet gives its upstreams too many layers.
+func (n *Node) awaitFleet(ctx context.Context) {
+	count, changedAt := 0, time.Now()
+	for ctx.Err() == nil && time.Since(n.started) < maxFleetWait {
+		sleep(ctx, planInterval)
+		if v := n.view.Load(); v != nil && v.List.Len() != count {
+			count, changedAt = v.List.Len(), time.Now()
+		}
+		if count > 0 && time.Since(changedAt) > n.config.HeartbeatInterval+planInterval {
+			return
+		}
+	}
+}
+
+// sweep closes idle connections of callers and unneeded connections to upstreams.
+func (n *Node) sweep(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		v := n.view.Load()
+		if v != nil && v.Rules != nil {
+			n.closeIdle(v.Rules.Limits().IdleTimeout)
+		}
+		n.pool.Sweep(func(t hop.Target) bool {
+			if v == nil {
+				return true
+			}
+			u := v.List.Get(t.ID)
+			return u != nil && u.Address == t.Address
+		})
+	}
+	return nil
+}
