Don't give a node the whole retry budget before it knows the list of nodes

A node that has a configuration or upstreams but not yet the rows of the nodes divided the retry budget by one, and so had half of the extra to itself: 160 retries of 320. Until the rows have been read the part of a fleet of unknown size applies (a 32nd).

Evidence: TestNodeWithoutTheListOfNodesIsNotAlone: 160 retries at the start before, at most 10 now.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -13,7 +13,11 @@
 
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/rules"
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/hop"
 	"rhubarbspread/io/mesh"
+
+	"github.com/go-logr/logr"
 )
 
 func TestForwardedHeaders(t *testing.T) {
@@ -128,3 +132,21 @@
 		}
 	})
 }
+
+// TestNodeWithoutTheListOfNodesIsNotAlone guards against a restarted node that takes itself for the only one, and so
+// has half of the fleet's retry budget to itself, until the store has given it the list of nodes.
+func TestNodeWithoutTheListOfNodesIsNotAlone(t *testing.T) {
+	const extra, most = 320, 10 // most is the part of one node of a fleet of unknown size
+	n := New(Config{RetryExtra: extra, RetryWindow: 10 * time.Second}, Platform{NewEngines: func(*hop.Pool) Engines { return nil }},
+		logr.Discard())
+	c := newControl(n)
+	c.apply(change{topic: store.Upstreams, snapshot: true})
+	c.publish()
+	retries := 0
+	for n.budget.Take("s") {
+		retries++
+	}
+	if retries > most {
+		t.Errorf("%d retries at the start, want at most %d", retries, most)
+	}
+}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -44,6 +44,7 @@
 	rules       *rules.Rules
 	rawRules    []byte
 	nodes       map[string]mesh.Node
+	hasNodes    bool                       // the rows of the nodes have been read
 	quarantines map[crash.Fingerprint]bool // those that have a row; replaced when it changes
 }
 
@@ -92,6 +93,7 @@
 		c.listVersion = max(c.listVersion, ch.version)
 		c.applyUpstreams(ch)
 	case store.Nodes:
+		c.hasNodes = true
 		if ch.snapshot {
 			c.quarantines = make(map[crash.Fingerprint]bool)
 		}
@@ -236,6 +238,8 @@
 	}
 	c.node.view.Store(v)
 	c.node.board.SetUpstreams(v.List)
-	c.node.budget.SetNodes(len(c.nodes) + 1)
+	if c.hasNodes { // until then the node must not take itself for the only one
+		c.node.budget.SetNodes(len(c.nodes) + 1)
+	}
 	c.node.board.SetNodes(len(c.nodes) + 1)
 }
