Don't pass on entries of upstreams that have expired

After an outage of the store a node keeps an entry that was removed for 2.2 s, since it may reappear. Meanwhile it listed the entry to nodes that asked for newer data, and one that waited for the same entry took it for reappeared and kept the upstream for good: front-plovdiv-a-10 in the replay, which asked front-plovdiv-a-15 50 ms after it had read the removal itself, never logged upstream-gone.

The list for other nodes now leaves such entries out.

Evidence: TestEntryThatExpiredIsNotPassedOn fails before and passes now.

--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -230,7 +230,9 @@
 	list := make([]*fleet.Upstream, 0, len(c.upstreams))
 	for _, u := range c.upstreams {
 		list = append(list, u)
-		v.Rows = append(v.Rows, store.FeedRow{Key: u.ID, Value: c.rawEntries[u.ID]})
+		if _, ok := c.expiring[u.ID]; !ok { // another node would take it for an entry that has reappeared
+			v.Rows = append(v.Rows, store.FeedRow{Key: u.ID, Value: c.rawEntries[u.ID]})
+		}
 	}
 	v.List = fleet.NewList(c.listVersion, list)
 	for name, node := range c.nodes {
