Give the list of nodes to a node that the store turns away

The answer to a node that lacks these rows now contains them, as the other node has read them, the rows of quarantined requests included. A node that lacks only these asks a seed once a second while the store fails.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -146,6 +146,7 @@
 // Times of fetching from other nodes.
 const (
 	fetchInterval = 250 * time.Millisecond
+	seedInterval  = time.Second // between requests to seeds by a node that only lacks the list of nodes
 	// minLag is the time for which another node must be ahead before this one fetches, since changes in the store reach
 	// some nodes a little later than others.
 	minLag = 700 * time.Millisecond
@@ -183,13 +184,16 @@
 // fetchFromNodes fetches from other nodes what this one can't get from the store.
 func (n *Node) fetchFromNodes(ctx context.Context, changes chan<- change) error {
 	var lag lagTracker
+	var seedAskedAt time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, fetchInterval)
 		own := n.storeState()
 		peer, ok := n.mesh.NewerPeer(own.RulesVersion, own.ListVersion)
-		if !ok && own.RulesVersion == 0 && n.isStoreFailing() && len(n.config.Seeds) > 0 {
+		needsSeed := own.RulesVersion == 0 || len(own.NodeRows) == 0 && time.Since(seedAskedAt) >= seedInterval
+		if !ok && needsSeed && n.isStoreFailing() && len(n.config.Seeds) > 0 {
 			seed := n.config.Seeds[rand.IntN(len(n.config.Seeds))]
 			peer, ok = mesh.Peer{Name: "seed", RPCAddress: seed, RulesVersion: 1}, true
+			seedAskedAt = time.Now()
 		}
 		lag.listPause = listPause(n.settings.Load().DrainBound)
 		if !ok {
@@ -198,13 +202,13 @@
 		if !lag.shouldFetch(time.Now(), own, peer, n.isStoreFailing()) || !ok {
 			continue
 		}
-		fetched, err := n.mesh.Fetch(ctx, peer.RPCAddress, own.RulesVersion, own.ListVersion)
+		fetched, err := n.mesh.Fetch(ctx, peer.RPCAddress, own)
 		if err != nil {
 			n.log.Info("node-silent", "other", peer.Name, "cause", err.Error())
 			continue
 		}
 		n.log.Info("news", "other", peer.Name, "rules", peer.RulesVersion, "list", fetched.ListVersion,
-			"had-rules", own.RulesVersion, "had-list", own.ListVersion)
+			"had-rules", own.RulesVersion, "had-list", own.ListVersion, "nodes", len(fetched.NodeRows))
 		n.forwardState(ctx, fetched, changes)
 	}
 	return nil
@@ -219,6 +223,9 @@
 	if fetched.ListVersion > 0 {
 		list = append(list, change{topic: store.Upstreams, rows: fetched.Rows, version: fetched.ListVersion, snapshot: true})
 	}
+	if len(fetched.NodeRows) > 0 {
+		list = append(list, change{topic: store.Nodes, rows: fetched.NodeRows})
+	}
 	for _, ch := range list {
 		select {
 		case changes <- ch:
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -124,7 +124,7 @@
 		return mesh.StoreState{}
 	}
 	_, isPlanner := n.lease.Valid()
-	state := mesh.StoreState{ListVersion: v.List.Version(), RawRules: v.RawRules, Rows: v.Rows, IsPlanner: isPlanner}
+	state := mesh.StoreState{ListVersion: v.List.Version(), RawRules: v.RawRules, Rows: v.Rows, NodeRows: v.NodeRows, IsPlanner: isPlanner}
 	if v.Rules != nil {
 		state.RulesVersion = v.Rules.Version()
 	}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -20,6 +20,7 @@
 	RawRules []byte       // encoded configuration, for other nodes
 	List     *fleet.List
 	Rows     []store.FeedRow      // entries of the upstreams, for other nodes
+	NodeRows []store.FeedRow      // rows that nodes write, for other nodes
 	Nodes    map[string]mesh.Node // other nodes in the store's list
 	// Quarantines holds the requests in quarantine that have a row.
 	Quarantines map[crash.Fingerprint]bool
@@ -44,7 +45,7 @@
 	rules       *rules.Rules
 	rawRules    []byte
 	nodes       map[string]mesh.Node
-	hasNodes    bool                       // the rows of the nodes have been read
+	rawNodes    map[string][]byte          // rows that nodes write; empty until they have been read
 	quarantines map[crash.Fingerprint]bool // those that have a row; replaced when it changes
 }
 
@@ -52,7 +53,7 @@
 	return &control{
 		node: n, upstreams: make(map[string]*fleet.Upstream), rawEntries: make(map[string][]byte),
 		expiring: make(map[string]time.Time), nodes: make(map[string]mesh.Node),
-		quarantines: make(map[crash.Fingerprint]bool),
+		rawNodes: make(map[string][]byte), quarantines: make(map[crash.Fingerprint]bool),
 	}
 }
 
@@ -93,14 +94,11 @@
 		c.listVersion = max(c.listVersion, ch.version)
 		c.applyUpstreams(ch)
 	case store.Nodes:
-		c.hasNodes = true
 		if ch.snapshot {
-			c.quarantines = make(map[crash.Fingerprint]bool)
+			c.quarantines, c.rawNodes = make(map[crash.Fingerprint]bool), make(map[string][]byte)
 		}
 		for _, row := range ch.rows {
-			if !c.applyQuarantine(row) {
-				c.applyNode(row)
-			}
+			c.applyNodeRow(row)
 		}
 	}
 }
@@ -198,6 +196,18 @@
 	return removed
 }
 
+// applyNodeRow applies a row that a node has written: that of a node or of a quarantined request.
+func (c *control) applyNodeRow(row store.FeedRow) {
+	if row.Removed {
+		delete(c.rawNodes, row.Key)
+	} else {
+		c.rawNodes[row.Key] = row.Value
+	}
+	if !c.applyQuarantine(row) {
+		c.applyNode(row)
+	}
+}
+
 // nodeRow is the row in which a node announces itself.
 type nodeRow struct {
 	Address    string `json:"address"` // IP:port for datagrams
@@ -238,9 +248,12 @@
 	for name, node := range c.nodes {
 		v.Nodes[name] = node
 	}
+	for key, value := range c.rawNodes {
+		v.NodeRows = append(v.NodeRows, store.FeedRow{Key: key, Value: value})
+	}
 	c.node.view.Store(v)
 	c.node.board.SetUpstreams(v.List)
-	if c.hasNodes { // until then the node must not take itself for the only one
+	if len(c.rawNodes) > 0 { // until then the node must not take itself for the only one
 		c.node.budget.SetNodes(len(c.nodes) + 1)
 	}
 	c.node.board.SetNodes(len(c.nodes) + 1)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -37,6 +37,7 @@
 	ListVersion  uint64          // version of the store that the list of upstreams reflects
 	RawRules     []byte          // encoded configuration
 	Rows         []store.FeedRow // entries of the upstreams
+	NodeRows     []store.FeedRow // rows that nodes write
 	IsPlanner    bool            // the node holds the placement lease
 }
 
@@ -365,8 +366,9 @@
 	return false
 }
 
-// Fetch requests the data newer than the given versions from the node at an address.
-func (m *Mesh) Fetch(ctx context.Context, address string, rulesVersion, listVersion uint64) (StoreState, error) {
+// Fetch requests the data that is newer than the given state from the node at an address, and the rows of the nodes if
+// the state has none.
+func (m *Mesh) Fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -376,15 +378,32 @@
 	}
 	conn := drpcconn.New(tcp)
 	defer conn.Close()
-	reply, err := wire.NewDRPCMeshClient(conn).News(ctx, &wire.NewsRequest{Rules: rulesVersion, List: listVersion})
+	reply, err := wire.NewDRPCMeshClient(conn).News(ctx, &wire.NewsRequest{
+		Rules: own.RulesVersion, List: own.ListVersion, LacksNodes: len(own.NodeRows) == 0,
+	})
 	if err != nil {
 		return StoreState{}, err
 	}
-	state := StoreState{RawRules: reply.GetConfiguration(), ListVersion: reply.GetList()}
-	for _, e := range reply.GetEntries() {
-		state.Rows = append(state.Rows, store.FeedRow{Key: e.GetId(), Value: e.GetValue()})
+	return StoreState{
+		RawRules: reply.GetConfiguration(), ListVersion: reply.GetList(), Rows: decodeRows(reply.GetEntries()),
+		NodeRows: decodeRows(reply.GetNodes()),
+	}, nil
+}
+
+func decodeRows(entries []*wire.Entry) []store.FeedRow {
+	var rows []store.FeedRow
+	for _, e := range entries {
+		rows = append(rows, store.FeedRow{Key: e.GetId(), Value: e.GetValue()})
 	}
-	return state, nil
+	return rows
+}
+
+func encodeRows(rows []store.FeedRow) []*wire.Entry {
+	var entries []*wire.Entry
+	for _, row := range rows {
+		entries = append(entries, &wire.Entry{Id: row.Key, Value: row.Value})
+	}
+	return entries
 }
 
 // server serves the RPCs of other nodes.
@@ -402,9 +421,10 @@
 	}
 	if state.ListVersion > in.GetList() {
 		out.List = state.ListVersion
-		for _, row := range state.Rows {
-			out.Entries = append(out.Entries, &wire.Entry{Id: row.Key, Value: row.Value})
-		}
+		out.Entries = encodeRows(state.Rows)
+	}
+	if in.GetLacksNodes() {
+		out.Nodes = encodeRows(state.NodeRows)
 	}
 	return out, nil
 }
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -312,17 +312,23 @@
 	m := New(Config{Node: "n"}, board.New(), func() StoreState {
 		return StoreState{
 			RulesVersion: 7, ListVersion: 9, RawRules: []byte("config"),
-			Rows: []store.FeedRow{{Key: "u", Value: []byte("entry")}},
+			Rows:     []store.FeedRow{{Key: "u", Value: []byte("entry")}},
+			NodeRows: []store.FeedRow{{Key: "n", Value: []byte("row")}},
 		}
 	}, nil, nil, nil, logr.Discard())
 	tests := []struct {
 		rules, list uint64 // versions in the request
+		lacksNodes  bool
 		hasConfig   bool
 		entries     int
-	}{{6, 8, true, 1}, {7, 8, false, 1}, {6, 9, true, 0}, {7, 9, false, 0}}
+		nodes       int
+	}{{6, 8, true, true, 1, 1}, {7, 8, false, false, 1, 0}, {6, 9, false, true, 0, 0}, {7, 9, true, false, 0, 1}}
 	for _, tc := range tests {
-		reply, err := (&server{mesh: m}).News(context.Background(), &wire.NewsRequest{Rules: tc.rules, List: tc.list})
-		if err != nil || (len(reply.GetConfiguration()) > 0) != tc.hasConfig || len(reply.GetEntries()) != tc.entries {
+		reply, err := (&server{mesh: m}).News(context.Background(), &wire.NewsRequest{
+			Rules: tc.rules, List: tc.list, LacksNodes: tc.lacksNodes,
+		})
+		if err != nil || (len(reply.GetConfiguration()) > 0) != tc.hasConfig || len(reply.GetEntries()) != tc.entries ||
+			len(reply.GetNodes()) != tc.nodes {
 			t.Errorf("%+v: %v, %v", tc, reply, err)
 		}
 	}
