Count a crashing request under another key of its team as the same

The fingerprint that ties copies of a crashing request together held the caller's API key. The users say that such a request comes again with the same path, caller and body; a team may have several keys, and keys are taken away and added while it does. Under another key it was a new request with two upstreams to lose. Teams now identify the caller, the key only where a route has no team.

Evidence: TestFingerprintIsSharedByCopies, its second case fails before. That the users' reports come from this is not shown.

--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -22,8 +22,13 @@
 const reconnectTimeout = 200 * time.Millisecond
 
 // Fingerprint returns a hash that copies of a request share: those with the same target, caller and body.
+// A team's keys stand for one caller.
 func (q *Request) Fingerprint() crash.Fingerprint {
-	return crash.NewFingerprint(q.Method+" "+q.Host+q.URI+" "+q.APIKey, q.Body)
+	caller := q.Team.Name
+	if caller == "" {
+		caller = q.APIKey
+	}
+	return crash.NewFingerprint(q.Method+" "+q.Host+q.URI+" "+caller, q.Body)
 }
 
 // checkQuarantine returns a refusal if the request is in quarantine because copies of it crashed upstreams.
--- a/core/proxy/crash_test.go
+++ b/core/proxy/crash_test.go
@@ -67,3 +67,28 @@
 		}
 	})
 }
+
+// TestFingerprintIsSharedByCopies checks which requests count as copies of one: those of a team under any of its keys.
+func TestFingerprintIsSharedByCopies(t *testing.T) {
+	first := Request{CallerHeaders: CallerHeaders{ID: "1", APIKey: "k1"}, Method: "POST", Host: "h", URI: "/x",
+		Body: []byte("b"), Team: rules.Team{Name: "t"}}
+	tests := []struct {
+		name   string
+		change func(*Request)
+		isCopy bool
+	}{
+		{"another attempt ID", func(q *Request) { q.ID = "2" }, true},
+		{"another key of the team", func(q *Request) { q.APIKey = "k2" }, true},
+		{"another team", func(q *Request) { q.Team.Name = "u" }, false},
+		{"another key without a team", func(q *Request) { q.Team.Name, q.APIKey = "", "k2" }, false},
+		{"another path", func(q *Request) { q.URI = "/y" }, false},
+		{"another body", func(q *Request) { q.Body = []byte("c") }, false},
+	}
+	for _, tc := range tests {
+		other := first
+		tc.change(&other)
+		if got := other.Fingerprint() == first.Fingerprint(); got != tc.isCopy {
+			t.Errorf("%s: a copy: %v, want %v", tc.name, got, tc.isCopy)
+		}
+	}
+}
