Compare crashing requests by deaths, not by the upstreams' IDs

A request that is present at all deaths of another and lost more upstreams explains them better, so that the other is not quarantined. A replica may start again under its ID, and where a service has few, a request in quarantine then excused the next one whose crashes hit the same replicas. Now the marks have to be within a second of each other, so that they are of one death.

Evidence: TestEarlierCrashesOfAnUpstreamExcuseNoOther fails before: two crashes, no quarantine.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -89,10 +89,14 @@
 	return latest
 }
 
-// presentAtAllDeathsOf reports whether a request ran on every upstream whose death is a mark of another request.
+// sameDeathWindow is the longest time between the marks of one death. An upstream that is back dies later.
+const sameDeathWindow = time.Second
+
+// presentAtAllDeathsOf reports whether a request ran on every upstream at the death that is a mark of another request.
 func (r *record) presentAtAllDeathsOf(other *record) bool {
-	for upstream := range other.marks {
-		if _, ok := r.marks[upstream]; !ok {
+	for upstream, m := range other.marks {
+		own, ok := r.marks[upstream]
+		if !ok || own.at.Sub(m.at).Abs() > sameDeathWindow {
 			return false
 		}
 	}
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -227,3 +227,22 @@
 		})
 	}
 }
+
+// TestEarlierCrashesOfAnUpstreamExcuseNoOther guards against a request in quarantine that excuses each later one whose
+// crashes hit the same upstreams after their restart.
+func TestEarlierCrashesOfAnUpstreamExcuseNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		for _, d := range []death{
+			{request: "p", upstream: "u1"}, {request: "p", upstream: "u2"}, {request: "p", upstream: "u3"},
+			{request: "q", upstream: "u1"}, {request: "q", upstream: "u2"},
+		} {
+			r.RecordDeath(crash.Fingerprint(d.request), d.upstream, "dc", crash.BrokeBeforeFirstToken)
+			time.Sleep(3 * time.Second)
+		}
+		if _, ok := r.Verdict("q").(crash.Quarantined); !ok {
+			t.Error("a request with two crashes is not in quarantine")
+		}
+	})
+}
