Tell callers of a quarantined request when its quarantine ends

A request in quarantine was refused with the Retry-After of a full node, a share of the caller's remaining seconds, although it is refused for minutes: its caller was invited to send it again and again, which is what makes copies of it.

Evidence: the extended TestCrashingRequestIsStopped fails before.

--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -38,9 +38,14 @@
 		return nil
 	}
 	r.executor.meter.Count("requests-quarantined")
-	return r.failure(
+	err := r.failure(
 		"upstreams died of copies of this request; quarantined for "+verdict.Remaining().Round(time.Second).String(),
 		http.StatusBadGateway)
+	var refusal *Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		refusal.RetryAfter = verdict.Remaining()
+	}
+	return err
 }
 
 // updateSuspicion updates the suspicion of a request after an attempt. The request is held responsible for the death of
--- a/core/proxy/crash_test.go
+++ b/core/proxy/crash_test.go
@@ -44,10 +44,16 @@
 		time.Sleep(time.Second)
 		q := request(route(rules.Idempotent), nil)
 		q.Body = []byte("poison")
-		if err := fresh.Run(t.Context(), q, &fakeSink{}); err == nil || len(other.sends) != 0 {
+		err := fresh.Run(t.Context(), q, &fakeSink{})
+		if err == nil || len(other.sends) != 0 {
 			t.Errorf("a node with the marks: %v after %d attempts, want a refusal without an attempt", err,
 				len(other.sends))
 		}
+		const quarantine, age = time.Minute, time.Second
+		var refusal *Refusal
+		if !errors.As(err, &refusal) || refusal.RetryAfter < quarantine-age || refusal.RetryAfter > quarantine {
+			t.Errorf("refusal %+v, want the rest of the quarantine as Retry-After", refusal)
+		}
 	})
 }
 
