Judge no request with too few marks

Each datagram now asks for the quarantines, every 150 ms, and a failure of many upstreams leaves hundreds of requests with one mark: these are passed over before their marks are copied. No change of behaviour; not measured by itself.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -15,6 +15,9 @@
 // quarantine withdraws its marks, so that further crashes quarantine the request again.
 func (r *Registry) updateQuarantine(f Fingerprint, rec *record, now time.Time) bool {
 	if rec.quarantineEnd.IsZero() {
+		if len(rec.marks) < crashesToQuarantine {
+			return false
+		}
 		settled := rec.settled(now)
 		if !r.isLikelyCause(f, settled) {
 			return false
