--- a/io/entry/tasks.go
+++ b/io/entry/tasks.go
@@ -5,9 +5,55 @@
 	"encoding/json"
 	"time"
 
+	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
+
+	"github.com/go-logr/logr"
 )
 
+// tasks runs the background goroutines of a node; each reports its end on done.
+type tasks struct {
+	log   logr.Logger
+	count int
+	done  chan error
+}
+
+// start runs a task and logs its error.
+func (t *tasks) start(name string, f func() error) {
+	t.count++
+	go func() {
+		err := f()
+		if err != nil {
+			t.log.Error(err, "duty-failed", "duty", name)
+		}
+		t.done <- err
+	}()
+}
+
+// maxTasks is the capacity of the channels of tasks and of changes.
+const maxTasks = 16
+
+// startTasks starts the background goroutines.
+func (n *Node) startTasks(ctx context.Context) *tasks {
+	running := &tasks{log: n.log, done: make(chan error, maxTasks)}
+	changes := make(chan change, maxTasks)
+	c := newControl(n)
+	running.start("control", func() error { return c.run(ctx, changes) })
+	for _, topic := range []store.Topic{store.Configuration, store.Upstreams, store.Nodes} {
+		running.start("follow-"+topic.String(), func() error { return n.followTopic(ctx, topic, changes) })
+	}
+	running.start("announce", func() error { return n.announce(ctx) })
+	running.start("mesh", func() error { return n.mesh.Run(ctx) })
+	running.start("ask-around", func() error { return n.fetchFromNodes(ctx, changes) })
+	running.start("plan", func() error { return n.plan(ctx) })
+	running.start("sweep", func() error { return n.sweep(ctx) })
+	running.start("reload", func() error { return n.reload(ctx) })
+	running.start("ask-upstreams", func() error { return n.fetchReports(ctx) })
+	leaseDone := n.lease.Run(ctx)
+	running.start("lease", func() error { return <-leaseDone })
+	return running
+}
+
 // announce writes this node's row to the store, with retries until that succeeds.
 func (n *Node) announce(ctx context.Context) error {
 	raw, err := json.Marshal(nodeRow{Address: n.config.DatagramAddress, DataCentre: n.config.DataCentre})
--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -284,36 +284,31 @@
 	{"twenty crashing requests", 20, 0},
 }
 
-// TestUnrelatedDeathsDoNotExcuseCrashingRequest guards against crashes that are taken for a correlated failure because
-// other upstreams of the data centre die at the same time.
-func TestUnrelatedDeathsDoNotExcuseCrashingRequest(t *testing.T) {
+// playUnrelatedDeaths plays each case and checks it.
+func playUnrelatedDeaths(t *testing.T, check func(*crasherFleet)) {
 	for _, tc := range unrelatedDeaths {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newCrasherFleet(t, crasherNodes, seed)
 					f.runCrashers(tc.crashers, tc.flapping)
-					f.checkSends()
+					check(f)
 				})
 			})
 		}
 	}
 }
 
+// TestUnrelatedDeathsDoNotExcuseCrashingRequest guards against crashes that are taken for a correlated failure because
+// other upstreams of the data centre die at the same time.
+func TestUnrelatedDeathsDoNotExcuseCrashingRequest(t *testing.T) {
+	playUnrelatedDeaths(t, (*crasherFleet).checkSends)
+}
+
 // TestUnrelatedDeathsBlameNoOther guards against an innocent request in quarantine because its upstreams died for two
 // different reasons.
 func TestUnrelatedDeathsBlameNoOther(t *testing.T) {
-	for _, tc := range unrelatedDeaths {
-		for seed := range uint64(2) {
-			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newCrasherFleet(t, crasherNodes, seed)
-					f.runCrashers(tc.crashers, tc.flapping)
-					f.checkOthers()
-				})
-			})
-		}
-	}
+	playUnrelatedDeaths(t, (*crasherFleet).checkOthers)
 }
 
 // TestRestartedNodesRefuseCrashingRequest guards against nodes that lose the quarantine when they restart.
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -226,8 +226,8 @@
 	d := &wire.Digest{
 		Node: own.GetNode(), Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(), DataCentre: own.GetDataCentre(),
 		Questions: own.GetQuestions(), Rules: rulesVersion, List: listVersion, Scope: scope,
-		Quarantined: own.GetQuarantined(), Crashes: limitMarks(slices.Collect(maps.Values(s.crashes))), Plans: s.planners > 0, Nodes: uint32(s.nodes),
-		Settled: uint32(max(0, s.settled)),
+		Quarantined: own.GetQuarantined(), Crashes: limitMarks(slices.Collect(maps.Values(s.crashes))),
+		Plans: s.planners > 0, Nodes: uint32(s.nodes), Settled: uint32(s.settled),
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
