Don't take the deaths of other crashing requests for a correlated failure

With twenty crashing requests this went on long enough to break the users' bound. Deaths at which a request with enough deaths for a quarantine ran no longer count as others of a correlated failure.

Evidence: TestCrashingRequestsExcuseNoOther, 5 upstreams died of the third request before, at most 3 now.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -107,7 +107,8 @@
 }
 
 // isCorrelatedFailure reports whether other upstreams of the data centre died at the same time without the request of a
-// mark. One other is not enough: two nodes may each have lost an upstream to copies of one request.
+// mark, and without another request that upstreams die of. One other is not enough: two nodes may each have lost an
+// upstream to copies of one request.
 func (r *Registry) isCorrelatedFailure(m Mark, now time.Time) bool {
 	others := 0
 	for upstream, d := range r.deaths {
@@ -118,9 +119,15 @@
 		if upstream == m.Upstream || d.dataCentre != m.DataCentre || now.Sub(d.at) > correlationWindow {
 			continue
 		}
-		if !slices.Contains(d.requests, m.Fingerprint) {
+		if !slices.Contains(d.requests, m.Fingerprint) && !slices.ContainsFunc(d.requests, r.hasSeveralDeaths) {
 			others++
 		}
 	}
 	return others >= correlatedDeaths
 }
+
+// hasSeveralDeaths reports whether enough upstreams for a quarantine died while they ran a request.
+func (r *Registry) hasSeveralDeaths(f Fingerprint) bool {
+	rec := r.records[f]
+	return rec != nil && len(rec.marks) >= crashesToQuarantine
+}
--- a/core/crash/registry_test.go
+++ b/core/crash/registry_test.go
@@ -246,3 +246,29 @@
 		}
 	})
 }
+
+// TestCrashingRequestsExcuseNoOther guards against crashes of several requests in one data centre that are taken for a
+// correlated failure.
+func TestCrashingRequestsExcuseNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mostDeaths = 3
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		deaths := make(map[crash.Fingerprint]int)
+		for round := range 10 {
+			for _, f := range []crash.Fingerprint{"p", "q", "s"} {
+				if _, ok := r.Verdict(f).(crash.Quarantined); ok {
+					continue
+				}
+				r.RecordDeath(f, fmt.Sprint("u-", f, round), "dc", crash.BrokeBeforeFirstToken)
+				deaths[f]++
+				time.Sleep(250 * time.Millisecond)
+			}
+		}
+		for f, n := range deaths {
+			if n > mostDeaths {
+				t.Errorf("%d upstreams died of %s until it was quarantined, want at most %d", n, f, mostDeaths)
+			}
+		}
+	})
+}
