Reproduce gossip that no longer crosses a cut that has healed

A relay that was silent for 2 s is ranked last and is sent nothing, so that it does not hear from the sender and, on its side, ranks that one last too. Claims and counts of retries take the same way.

TestGossipCrossesDataCentresAfterCut fails: 11 of 39 nodes receive no mark in 20 periods after a cut of 40.

--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -26,6 +26,7 @@
 	upstreams     []*fleet.Upstream
 	bytesSent     int
 	mostBytes     int            // in one datagram
+	cutDataCentre string         // from and to which no datagram arrives
 	datagramsSent map[string]int // by sender
 }
 
@@ -116,7 +117,8 @@
 		g.mostBytes = max(g.mostBytes, len(raw))
 		g.datagramsSent[from.config.Node]++
 		for _, to := range g.nodes {
-			if to.address == d.to && !to.isStopped {
+			isCut := (from.dataCentre == g.cutDataCentre) != (to.dataCentre == g.cutDataCentre)
+			if to.address == d.to && !to.isStopped && !isCut {
 				var received wire.Digest
 				if err := proto.Unmarshal(raw, &received); err != nil {
 					g.t.Fatal(err)
@@ -224,6 +226,37 @@
 	})
 }
 
+// TestGossipCrossesDataCentresAfterCut guards against data centres that still take each other's relays for silent after
+// they could not reach each other for some seconds.
+func TestGossipCrossesDataCentresAfterCut(t *testing.T) {
+	const periodsBefore, periodsCut, periodsAfter = 6, 40, 20
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 40, "a", "b", "c")
+		sequence := uint32(0)
+		deliver := func(periods int) {
+			for range periods {
+				sequence++
+				g.deliver(sequence)
+			}
+		}
+		deliver(periodsBefore)
+		g.cutDataCentre = "b"
+		deliver(periodsCut)
+		g.cutDataCentre = ""
+		g.nodes[0].BroadcastMark(crash.Mark{Fingerprint: "f", Upstream: "u0", Stamp: 3})
+		deliver(periodsAfter)
+		lacking := 0
+		for _, m := range g.nodes[1:] {
+			if len(m.receivedMarks) == 0 {
+				lacking++
+			}
+		}
+		if lacking > 0 {
+			t.Errorf("%d of %d nodes received no mark in %d periods after the cut", lacking, len(g.nodes)-1, periodsAfter)
+		}
+	})
+}
+
 // TestNodesThatLackAQuarantineGetItsMarks checks that a node that was cut off while marks were repeated gets those of a
 // quarantined request when it is back, with their age, and that they are not sent once all nodes have them.
 func TestNodesThatLackAQuarantineGetItsMarks(t *testing.T) {
