--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"rhubarbspread/core/board"
@@ -31,6 +32,14 @@
 	return crash.NewFingerprint(q.Method+" "+q.Host+q.URI+" "+caller, q.Body)
 }
 
+// maxLoggedParts bounds how many parts of a prompt a log line names.
+const maxLoggedParts = 8
+
+// describeParts returns the IDs of the first parts of the prompt for logs, separated by commas.
+func (q *Request) describeParts() string {
+	return strings.Join(q.PromptParts[:min(len(q.PromptParts), maxLoggedParts)], ",")
+}
+
 // checkQuarantine returns a refusal if the request is in quarantine because copies of it crashed upstreams.
 func (r *run) checkQuarantine() error {
 	verdict, ok := r.executor.crashes.Verdict(r.fingerprint).(crash.Quarantined)
@@ -68,7 +77,7 @@
 	m, ok := r.executor.crashes.RecordDeath(r.fingerprint, res.Upstream.ID, res.Upstream.DataCentre,
 		crash.BrokeBeforeFirstToken)
 	r.executor.log.Info("upstream-died", "request", r.request.ID, "fingerprint", string(r.fingerprint),
-		"upstream", res.Upstream.ID, "marked", ok)
+		"parts", r.request.describeParts(), "upstream", res.Upstream.ID, "marked", ok)
 	if ok {
 		r.executor.broadcast(m)
 	}
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -273,7 +273,7 @@
 			"path", board.Describe(res.Hops()), "outcome", reply.Reason(outcome), "may-have-run", reply.CouldHaveRun(outcome),
 			"last-event", r.lastEventID, "expected-first-ms", res.Expected.FirstEvent.Milliseconds(),
 			"expected-pause-ms", res.Expected.EventGap.Milliseconds(), "fingerprint", string(r.fingerprint),
-			"ms", time.Since(began).Milliseconds())
+			"parts", r.request.describeParts(), "ms", time.Since(began).Milliseconds())
 	}
 	return outcome
 }
--- a/core/proxy/types.go
+++ b/core/proxy/types.go
@@ -19,8 +19,9 @@
 	LastEventID          string        // ID of the event after which a stream resumes, or ""
 	Deadline             time.Duration // time that the caller waits, or 0 if unknown
 	PromptTokens         int
-	MaxOutputTokens      int // 0 if unknown
-	ExpectedOutputTokens int // 0 if unknown
+	MaxOutputTokens      int      // 0 if unknown
+	ExpectedOutputTokens int      // 0 if unknown
+	PromptParts          []string // IDs of the parts of the prompt in order; the last belongs to the request or its session
 }
 
 // Request is one attempt of a caller with its route, service and team.
