Reproduce requests that share a part of their prompts and crash upstreams

Nodes with real gossip in front of upstreams that crash under each request with one part, held to the users' bound: at most 3 such requests later than 4 s after the fifth crash.

--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -23,7 +23,8 @@
 
 // Targets and conditions of the tests with a crashing request.
 const (
-	crashesBeforeBound = 3               // crashes after which the bound on retries applies
+	crashesBeforeBound = 3               // crashes by a request after which the bound on retries applies
+	partCrashesBefore  = 5               // the same for all requests with a part
 	maxLateSends       = 3               // sends after that many crashes and settleTime
 	settleTime         = 4 * time.Second // for nodes to learn of the crashes
 	upstreamDownTime   = 3 * time.Second // until a crashed upstream is back
@@ -45,8 +46,8 @@
 	mu        sync.Mutex
 	downUntil map[string]time.Time     // by upstream
 	crashed   map[string]chan struct{} // by upstream; closed when it crashes
-	crashes   map[string][]time.Time   // by body
-	lateSends map[string]int           // by body
+	crashes   map[string][]time.Time   // by body or part
+	lateSends map[string]int           // by body or part
 	failed    int                      // requests other than the crashing one that got no answer
 }
 
@@ -100,9 +101,12 @@
 }
 
 // ask sends a request to a node.
-func (f *crasherFleet) ask(node int, body string) {
+func (f *crasherFleet) ask(node int, body string) { f.askWithParts(node, body, nil) }
+
+// askWithParts sends a request whose prompt has parts to a node.
+func (f *crasherFleet) askWithParts(node int, body string, parts []string) {
 	q := &proxy.Request{
-		CallerHeaders: proxy.CallerHeaders{ID: body}, Method: http.MethodPost, URI: "/", Body: []byte(body),
+		CallerHeaders: proxy.CallerHeaders{ID: body, PromptParts: parts}, Method: http.MethodPost, URI: "/", Body: []byte(body),
 		Route:   &rules.Route{Name: "r", Kind: rules.Idempotent, MaxAttempts: 2},
 		Service: &rules.Service{Name: "s"}, ExpiresAt: time.Now().Add(20 * time.Second),
 	}
@@ -123,10 +127,10 @@
 	if len(f.crashes) == 0 {
 		f.t.Error("no upstream crashed: the test exercises nothing")
 	}
-	for body, crashes := range f.crashes {
-		if f.lateSends[body] > maxLateSends {
-			f.t.Errorf("%q was sent %d times later than %v after its third crash, want at most %d; it crashed %d upstreams in all",
-				body, f.lateSends[body], settleTime, maxLateSends, len(crashes))
+	for cause, crashes := range f.crashes {
+		if f.lateSends[cause] > maxLateSends {
+			f.t.Errorf("%q was sent %d times later than %v after crash %d, want at most %d; it crashed %d upstreams in all",
+				cause, f.lateSends[cause], settleTime, boundAfter(cause), maxLateSends, len(crashes))
 		}
 	}
 }
@@ -162,9 +166,9 @@
 		return nil, proxy.NewSendError(false, err)
 	}
 	crashed := v.fleet.beginAt(s.Upstream)
-	if strings.HasPrefix(string(s.Body), crasherBody) {
+	if cause := crashCause(s.Request); cause != "" {
 		time.Sleep(20 * time.Millisecond)
-		v.fleet.crash(string(s.Body), s.Upstream, v.startedAt)
+		v.fleet.crash(cause, s.Upstream, v.startedAt)
 	}
 	select {
 	case <-crashed:
@@ -177,6 +181,27 @@
 	}
 }
 
+// crashCause returns the body or the part of a request that crashes upstreams, or "".
+func crashCause(q *proxy.Request) string {
+	if strings.HasPrefix(string(q.Body), crasherBody) {
+		return string(q.Body)
+	}
+	for _, part := range q.PromptParts {
+		if strings.HasPrefix(part, crashingPart) {
+			return part
+		}
+	}
+	return ""
+}
+
+// boundAfter returns the number of crashes after which the sends of a body or a part are bounded.
+func boundAfter(cause string) int {
+	if strings.HasPrefix(cause, crashingPart) {
+		return partCrashesBefore
+	}
+	return crashesBeforeBound
+}
+
 // dial returns an error while an upstream is down.
 func (f *crasherFleet) dial(u *fleet.Upstream) error {
 	f.mu.Lock()
@@ -198,17 +223,16 @@
 }
 
 // crash crashes an upstream and counts the send; a node that started within settleTime is not held to the bound.
-func (f *crasherFleet) crash(body string, u *fleet.Upstream, nodeStartedAt time.Time) {
+func (f *crasherFleet) crash(cause string, u *fleet.Upstream, nodeStartedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	crashes := f.crashes[body]
-	if len(crashes) >= crashesBeforeBound && now.Sub(crashes[crashesBeforeBound-1]) > settleTime &&
-		now.Sub(nodeStartedAt) > settleTime {
-		f.lateSends[body]++
+	crashes, bound := f.crashes[cause], boundAfter(cause)
+	if len(crashes) >= bound && now.Sub(crashes[bound-1]) > settleTime && now.Sub(nodeStartedAt) > settleTime {
+		f.lateSends[cause]++
 	}
 	if f.stopLocked(u, upstreamDownTime) {
-		f.crashes[body] = append(crashes, now)
+		f.crashes[cause] = append(crashes, now)
 	}
 }
 
