--- /dev/null
+++ b/core/crash/clearance.go
@@ -0,0 +1,97 @@
+package crash
+
+import (
+	"slices"
+	"time"
+)
+
+// Completed records a complete answer to a request, or to one with a part, which clears its suspicion. It returns the
+// mark to send to the other nodes, and false if there was no suspicion, or if a request is in quarantine.
+func (r *Registry) Completed(f Fingerprint) (Mark, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	rec := r.records[f]
+	if f.isPart() {
+		r.usage.use(f, now).soundEnd = clearance{stamp: r.stamp(), at: now}
+	} else if rec != nil && rec.quarantineEnd.After(now) {
+		return Mark{}, false
+	}
+	if rec == nil {
+		return Mark{}, false
+	}
+	return r.clear(f), true
+}
+
+// Clear removes all suspicion of a request at an operator's request, and returns the mark to send to the other nodes.
+func (r *Registry) Clear(f Fingerprint) Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clear(f)
+}
+
+func (r *Registry) clear(f Fingerprint) Mark {
+	m := Mark{Fingerprint: f, Stamp: r.stamp(), Cleared: true}
+	r.applyClearance(m)
+	return m
+}
+
+// applyClearance withdraws the marks of a suspect that are older than its clearance.
+func (r *Registry) applyClearance(m Mark) {
+	now := r.now()
+	for f, c := range r.cleared {
+		if now.Sub(c.at) > suspicionTime {
+			delete(r.cleared, f)
+		}
+	}
+	if r.cleared[m.Fingerprint].stamp >= m.Stamp {
+		return
+	}
+	r.log.Info("crash-cleared", "fingerprint", string(m.Fingerprint), "stamp", m.Stamp, "age-ms", m.Age.Milliseconds())
+	r.cleared[m.Fingerprint] = clearance{stamp: m.Stamp, at: now.Add(-m.Age)}
+	if rec := r.records[m.Fingerprint]; rec != nil {
+		if r.dropMarks(m.Fingerprint, rec, func(d deathMark) bool { return d.Stamp < m.Stamp }) {
+			rec.quarantineEnd = time.Time{}
+		}
+	}
+}
+
+// dropMarks removes the marks of a suspect that match, and the suspect if none is left. It reports whether it removed any.
+func (r *Registry) dropMarks(f Fingerprint, rec *record, matches func(deathMark) bool) bool {
+	before := len(rec.deaths)
+	rec.deaths = slices.DeleteFunc(rec.deaths, func(d *death) bool {
+		if !matches(d.marks[f]) {
+			return false
+		}
+		delete(d.marks, f)
+		return true
+	})
+	if len(rec.deaths) == 0 {
+		delete(r.records, f)
+	}
+	return len(rec.deaths) < before
+}
+
+// Acquittals returns the clearances that other nodes may lack: those of suspected parts that this node had an answer to
+// before, and those that a node with the part in quarantine has not applied.
+func (r *Registry) Acquittals() []Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var out []Mark
+	for f := range r.records {
+		c := r.usage.get(f).soundEnd
+		if c.stamp > 0 && c.stamp >= r.cleared[f].stamp && now.Sub(c.at) < trustTime {
+			out = append(out, Mark{Fingerprint: f, Stamp: c.stamp, Cleared: true, Age: now.Sub(c.at)})
+		}
+	}
+	for f, at := range r.contested {
+		c := r.cleared[f]
+		if now.Sub(at) > contestTime || c.stamp == 0 {
+			delete(r.contested, f)
+			continue
+		}
+		out = append(out, Mark{Fingerprint: f, Stamp: c.stamp, Cleared: true, Age: now.Sub(c.at)})
+	}
+	return out
+}
--- /dev/null
+++ b/core/crash/marks.go
@@ -0,0 +1,145 @@
+package crash
+
+import "time"
+
+// RecordDeath marks a request, or a part of one, that ran on an upstream when the upstream died. It returns the mark to
+// send to the other nodes, and false if the death is part of a correlated failure.
+func (r *Registry) RecordDeath(f Fingerprint, upstream, dataCentre string, symptom Symptom) (Mark, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := Mark{Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp(), Symptom: symptom}
+	return m, r.mark(m, "own")
+}
+
+// ApplyMark applies a mark from another node.
+func (r *Registry) ApplyMark(m Mark) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.Cleared {
+		r.applyClearance(m)
+		return
+	}
+	if m.Stamp <= r.cleared[m.Fingerprint].stamp {
+		if m.Quarantined {
+			r.contested[m.Fingerprint] = r.now()
+		}
+		return
+	}
+	if r.isRepeated(m) {
+		return
+	}
+	r.mark(m, "gossip")
+}
+
+// isRepeated reports whether a mark or a later one of the same death was seen before. A mark that was not applied counts
+// as new once another node has the request in quarantine.
+func (r *Registry) isRepeated(m Mark) bool {
+	if m.Stamp > r.seen[deathID{m.Fingerprint, m.Upstream}].stamp {
+		return false
+	}
+	if !m.Quarantined {
+		return true
+	}
+	d := r.findDeath(m.Upstream, r.now().Add(-m.Age))
+	if d == nil {
+		return false
+	}
+	known, ok := d.marks[m.Fingerprint]
+	return ok && known.Quarantined
+}
+
+// mark applies m and reports whether the death speaks against its suspect, that is, is not part of a correlated failure.
+// The source of the mark is logged.
+func (r *Registry) mark(m Mark, source string) bool {
+	now := r.now()
+	at := now.Add(-m.Age)
+	r.remember(m, now)
+	if !at.After(r.ended[m.Fingerprint]) {
+		return false
+	}
+	d := r.findDeath(m.Upstream, at)
+	if d == nil {
+		d = &death{upstream: m.Upstream, dataCentre: m.DataCentre, at: at, marks: make(map[Fingerprint]deathMark)}
+		r.expire(now)
+		r.deaths = append(r.deaths, d)
+	}
+	rec := r.records[m.Fingerprint]
+	if rec == nil {
+		rec = &record{}
+		r.records[m.Fingerprint] = rec
+	}
+	_, isKnown := d.marks[m.Fingerprint]
+	if !isKnown {
+		rec.deaths = append(rec.deaths, d)
+	}
+	d.marks[m.Fingerprint] = deathMark{m, at}
+	if c := r.usage.get(m.Fingerprint).soundEnd; c.stamp > r.cleared[m.Fingerprint].stamp && now.Sub(c.at) < trustTime {
+		r.cleared[m.Fingerprint] = c
+	}
+	isBlamed := !r.isCorrelatedFailure(m.Fingerprint, d)
+	if isBlamed {
+		r.notifyRunning(m)
+	}
+	if !isKnown {
+		outcome := "marked"
+		if !isBlamed {
+			outcome = "correlated-failure"
+		}
+		r.logMark(m, source, outcome)
+	}
+	return isBlamed
+}
+
+// findDeath returns the death of an upstream at about a time, or nil.
+func (r *Registry) findDeath(upstream string, at time.Time) *death {
+	for _, d := range r.deaths {
+		if d.upstream == upstream && d.at.Sub(at).Abs() <= sameDeathWindow {
+			return d
+		}
+	}
+	return nil
+}
+
+// expire forgets old deaths, the oldest beyond the bounds, and what is known of suspects without deaths.
+func (r *Registry) expire(now time.Time) {
+	for len(r.deaths) > 0 && (now.Sub(r.deaths[0].at) > suspicionTime || len(r.deaths) >= maxDeaths ||
+		len(r.records) >= maxRecords) {
+		oldest := r.deaths[0]
+		r.deaths = r.deaths[1:]
+		for f := range oldest.marks {
+			r.dropDeath(f, oldest)
+		}
+	}
+	for f, end := range r.ended {
+		if now.Sub(end) > suspicionTime {
+			delete(r.ended, f)
+		}
+	}
+}
+
+// dropDeath removes one death from the record of a suspect, unless it is in quarantine for it.
+func (r *Registry) dropDeath(f Fingerprint, d *death) {
+	rec := r.records[f]
+	if rec == nil || rec.quarantineEnd.After(r.now()) {
+		return
+	}
+	r.dropMarks(f, rec, func(m deathMark) bool { return m.Upstream == d.upstream && m.at.Equal(d.marks[f].at) })
+}
+
+// remember records a mark as seen and forgets those that no node sends any more.
+func (r *Registry) remember(m Mark, now time.Time) {
+	if now.Sub(r.seenSweptAt) > seenSweepInterval {
+		r.seenSweptAt = now
+		for id, s := range r.seen {
+			if now.Sub(s.at) > suspicionTime {
+				delete(r.seen, id)
+			}
+		}
+	}
+	r.seen[deathID{m.Fingerprint, m.Upstream}] = seenMark{m.Stamp, now}
+}
+
+func (r *Registry) logMark(m Mark, source, outcome string) {
+	r.log.Info("crash-mark", "fingerprint", string(m.Fingerprint), "upstream", m.Upstream, "source", source,
+		"stamp", m.Stamp, "symptom", m.Symptom.String(), "outcome", outcome)
+}
--- /dev/null
+++ b/core/crash/part_test.go
@@ -0,0 +1,194 @@
+package crash_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rhubarbspread/core/crash"
+)
+
+// partStep is what a node sees: the death of an upstream while it ran requests with some suspects, or an answer to a
+// request with one.
+type partStep struct {
+	after    time.Duration
+	upstream string              // that died, or "" for an answer
+	suspects []crash.Fingerprint // that ran on it, or whose request was answered
+	times    int                 // for which the step is repeated at further upstreams; 0 for once
+}
+
+func part(id string) crash.Fingerprint { return crash.NewPartFingerprint("s", id) }
+
+// TestPartVerdict checks which suspects are in quarantine a second after the last step.
+func TestPartVerdict(t *testing.T) {
+	const second = time.Second
+	p, q, first := part("p"), part("q"), part("first")
+	tests := []struct {
+		name  string
+		uses  map[crash.Fingerprint]int // requests with a part, of late
+		steps []partStep
+		want  []crash.Fingerprint
+	}{
+		{"three deaths do not quarantine a part", nil, []partStep{{second, "u", []crash.Fingerprint{p}, 3}}, nil},
+		{"four deaths do", nil, []partStep{{second, "u", []crash.Fingerprint{p}, 4}}, []crash.Fingerprint{p}},
+		{"deaths within one second with the part in common are no correlated failure", nil, []partStep{
+			{100 * time.Millisecond, "u", []crash.Fingerprint{p}, 4}}, []crash.Fingerprint{p}},
+		{"an answer between the deaths clears the part", nil, []partStep{
+			{second, "u", []crash.Fingerprint{p}, 3}, {second, "", []crash.Fingerprint{p}, 0},
+			{second, "v", []crash.Fingerprint{p}, 3}}, nil},
+		{"an answer to a request that was running lifts the quarantine", nil, []partStep{
+			{second, "u", []crash.Fingerprint{p}, 5}, {second, "", []crash.Fingerprint{p}, 0}}, nil},
+		{"a part that was answered before is not the cause while another may be", map[crash.Fingerprint]int{first: 100}, []partStep{
+			{second, "", []crash.Fingerprint{first}, 0}, {second, "u", []crash.Fingerprint{first, p}, 6}}, []crash.Fingerprint{p}},
+		{"of two parts with the same deaths, that of fewer requests", map[crash.Fingerprint]int{p: 10, q: 9}, []partStep{
+			{second, "u", []crash.Fingerprint{p, q}, 4}}, []crash.Fingerprint{q}},
+		{"a part of most requests is not blamed though it was at more deaths",
+			map[crash.Fingerprint]int{first: 100, p: 10}, []partStep{
+				{second, "u", []crash.Fingerprint{first, p}, 4}, {second, "v", []crash.Fingerprint{first}, 2}},
+			[]crash.Fingerprint{p}},
+		{"requests with a crashing part are not blamed for two deaths each", nil, []partStep{
+			{second, "u", []crash.Fingerprint{p, "r1"}, 2}, {second, "v", []crash.Fingerprint{p, "r2"}, 2},
+			{second, "w", []crash.Fingerprint{p}, 1}}, []crash.Fingerprint{p}},
+		{"a crashing request, not the part that only it has", nil, []partStep{
+			{second, "u", []crash.Fingerprint{p, "r"}, 3}}, []crash.Fingerprint{"r"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stamp := uint64(0)
+				r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+				for f, n := range tc.uses {
+					for range n {
+						r.RecordUse(f)
+					}
+				}
+				for _, s := range tc.steps {
+					play(r, s)
+				}
+				time.Sleep(time.Second)
+				var got []crash.Fingerprint
+				for _, f := range []crash.Fingerprint{p, q, first, "r", "r1", "r2"} {
+					if _, ok := r.Verdict(f).(crash.Quarantined); ok {
+						got = append(got, f)
+					}
+				}
+				if fmt.Sprint(got) != fmt.Sprint(tc.want) {
+					t.Errorf("in quarantine: %v, want %v", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// play applies one step.
+func play(r *crash.Registry, s partStep) {
+	for i := range max(1, s.times) {
+		time.Sleep(s.after)
+		for _, f := range s.suspects {
+			if s.upstream == "" {
+				r.Completed(f)
+			} else {
+				r.RecordDeath(f, fmt.Sprint(s.upstream, i), "dc", crash.BrokeBeforeFirstToken)
+			}
+		}
+	}
+}
+
+// TestAnswerAtOneNodeAcquitsAtAnother checks that a node with an answer to a request with a part tells nodes that suspect
+// the part, also if the answer came before the deaths, and one that holds on to its quarantine.
+func TestAnswerAtOneNodeAcquitsAtAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		newRegistry := func() *crash.Registry {
+			return crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		}
+		answered, other, late := newRegistry(), newRegistry(), newRegistry()
+		first := part("first")
+		answered.Completed(first)
+		var marks []crash.Mark
+		for i := range 4 {
+			time.Sleep(time.Second)
+			m, _ := other.RecordDeath(first, fmt.Sprint("u", i), "dc", crash.BrokeBeforeFirstToken)
+			answered.ApplyMark(m)
+			late.ApplyMark(m)
+			marks = append(marks, m)
+		}
+		for _, m := range answered.Acquittals() {
+			other.ApplyMark(m)
+		}
+		time.Sleep(time.Second)
+		if _, ok := other.Verdict(first).(crash.Quarantined); ok {
+			t.Error("a part that was answered at another node is in quarantine")
+		}
+		if _, ok := late.Verdict(first).(crash.Quarantined); !ok {
+			t.Fatal("a part with four deaths is not in quarantine")
+		}
+		if m, ok := other.Completed(first); !ok {
+			t.Fatal("an answer did not clear the part")
+		} else {
+			answered.ApplyMark(m)
+		}
+		for _, m := range late.Evidence() {
+			answered.ApplyMark(m)
+		}
+		for _, m := range answered.Acquittals() {
+			late.ApplyMark(m)
+		}
+		if _, ok := late.Verdict(first).(crash.Quarantined); ok {
+			t.Errorf("a node keeps a quarantine that another has cleared; it has %d marks", len(marks))
+		}
+	})
+}
+
+// TestDeathsAfterAQuarantineCountWheneverItsEndIsNoticed guards against the end of a quarantine that is noticed late and
+// withdraws the marks of deaths after it.
+func TestDeathsAfterAQuarantineCountWheneverItsEndIsNoticed(t *testing.T) {
+	for _, isAsked := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			const quarantine = time.Minute
+			stamp := uint64(0)
+			r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, quarantine)
+			dies := func(upstream string) { r.RecordDeath("p", upstream, "dc", crash.BrokeBeforeFirstToken) }
+			dies("u1")
+			dies("u2")
+			time.Sleep(time.Second)
+			if _, ok := r.Verdict("p").(crash.Quarantined); !ok {
+				t.Fatal("a request with two deaths is not in quarantine")
+			}
+			time.Sleep(quarantine)
+			if isAsked {
+				r.Verdict("p")
+			}
+			dies("u3")
+			dies("u4")
+			time.Sleep(time.Second)
+			if _, ok := r.Verdict("p").(crash.Quarantined); !ok {
+				t.Errorf("two deaths after the quarantine do not count (its end was noticed before: %v)", isAsked)
+			}
+		})
+	}
+}
+
+// TestUnboundedPartsAreForgotten guards against memory that grows with the IDs of parts, which come from callers.
+func TestUnboundedPartsAreForgotten(t *testing.T) {
+	const many, mostMarks = 20_000, 5_000
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		suspects := 0
+		for i := range many {
+			f := part(fmt.Sprint(i))
+			r.RecordUse(f)
+			r.RecordDeath(f, fmt.Sprint("u", i), fmt.Sprint("dc", i), crash.BrokeBeforeFirstToken)
+		}
+		for i := range many {
+			if _, ok := r.Verdict(part(fmt.Sprint(i))).(crash.Suspect); ok {
+				suspects++
+			}
+		}
+		if suspects > mostMarks {
+			t.Errorf("%d parts are remembered, want at most %d", suspects, mostMarks)
+		}
+	})
+}
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -7,127 +7,210 @@
 	"time"
 )
 
-// quarantineDelay is the age from which a mark counts for a quarantine. It leaves time for marks of other requests,
-// which may explain the same deaths better, to arrive from other nodes.
-const quarantineDelay = 100 * time.Millisecond
+// Rules of a quarantine.
+const (
+	crashesToQuarantine = 2 // deaths for a request; one more if an upstream went silent instead of breaking the connection
+	// partCrashesToQuarantine is the number of deaths for a part. It is higher, as a quarantine of a part concerns all
+	// requests that share it, and several of them run on the same upstream as a request that crashes it.
+	partCrashesToQuarantine = 4
+	// trustedMoments is the number of moments, apart by correlationWindow, at which upstreams must die of a part that has
+	// been answered of late.
+	trustedMoments = 5
+	// trustTime is for how long a part with a complete answer explains no deaths.
+	trustTime = time.Minute
+	// narrowerFactor is the ratio from which on one part counts as used by fewer requests than another.
+	narrowerFactor = 2
+)
 
-// updateQuarantine quarantines a request if its marks suffice, and reports whether it is in quarantine. The end of a
-// quarantine withdraws its marks, so that further crashes quarantine the request again.
+// updateQuarantine quarantines a suspect if its deaths suffice, and reports whether it is in quarantine. Deaths before the
+// end of a quarantine no longer count, whenever that end is noticed.
 func (r *Registry) updateQuarantine(f Fingerprint, rec *record, now time.Time) bool {
-	if rec.quarantineEnd.IsZero() {
-		if len(rec.marks) < crashesToQuarantine {
-			return false
+	for {
+		if rec.quarantineEnd.IsZero() {
+			since, ok := r.judge(f, rec, now)
+			if !ok {
+				return false
+			}
+			// Not from now on, since the deaths may be old: a restarted node's quarantine ends when those of the others do.
+			rec.quarantineEnd = since.Add(r.quarantine)
+			if rec.quarantineEnd.After(now) {
+				r.log.Info("quarantine", "fingerprint", string(f), "upstreams", strings.Join(rec.upstreams(), " "),
+					"for-ms", r.quarantine.Milliseconds())
+			}
 		}
-		settled := rec.settled(now)
-		if !r.isLikelyCause(f, settled) {
-			return false
+		if rec.quarantineEnd.After(now) {
+			return true
 		}
-		// Not from now on, since the marks may be old: a restarted node's quarantine ends when those of the others do.
-		rec.quarantineEnd = settled.sufficientAt().Add(r.quarantine)
-		r.log.Info("quarantine", "fingerprint", string(f),
-			"upstreams", strings.Join(slices.Sorted(maps.Keys(rec.marks)), " "), "for-ms", r.quarantine.Milliseconds())
-	}
-	if !rec.quarantineEnd.After(now) {
-		r.applyClearance(Mark{Fingerprint: f, Stamp: rec.latestStamp(), Cleared: true})
-		return false
+		r.endQuarantine(f, rec)
 	}
-	return true
 }
 
-// isStrong reports whether the suspicion is strong enough for all nodes to run the request at one upstream only.
-func (r *record) isStrong() bool {
-	return r.count(BrokeBeforeFirstToken) > 0 || len(r.marks) >= crashesToQuarantine
+// endQuarantine ends a quarantine and drops the deaths before its end.
+func (r *Registry) endQuarantine(f Fingerprint, rec *record) {
+	end := rec.quarantineEnd
+	r.ended[f] = end
+	rec.quarantineEnd = time.Time{}
+	r.dropMarks(f, rec, func(m deathMark) bool { return !m.at.After(end) })
+}
+
+// judge returns since when the deaths of a suspect suffice for a quarantine, and false if they don't.
+func (r *Registry) judge(f Fingerprint, rec *record, now time.Time) (time.Time, bool) {
+	required := rec.requiredDeaths(f)
+	if len(rec.deaths) < required {
+		return time.Time{}, false
+	}
+	var times []time.Time // of the deaths that nothing else explains
+	for _, d := range rec.deaths {
+		m := d.marks[f]
+		if now.Sub(m.at) >= r.settleTime && !r.isCorrelatedFailure(f, d) && !r.isExplained(f, rec, d) {
+			times = append(times, m.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	if r.isTrusted(f, now) {
+		required, times = trustedMoments, moments(times)
+	}
+	if len(times) < required {
+		return time.Time{}, false
+	}
+	return times[required-1].Add(r.settleTime), true
 }
 
-// settled returns a record of the marks that count for a quarantine. Later marks don't postpone it.
-func (r *record) settled(now time.Time) *record {
-	out := &record{marks: make(map[string]deathMark, len(r.marks))}
-	for upstream, m := range r.marks {
-		if now.Sub(m.at) >= quarantineDelay {
-			out.marks[upstream] = m
+// moments returns the first of each run of times that are at most correlationWindow apart.
+func moments(times []time.Time) []time.Time {
+	var out []time.Time
+	for _, t := range times {
+		if len(out) == 0 || t.Sub(out[len(out)-1]) > correlationWindow {
+			out = append(out, t)
 		}
 	}
 	return out
 }
 
-// requiredDeaths returns how many deaths a quarantine requires.
-func (r *record) requiredDeaths() int {
-	if r.count(WentSilent) > 0 {
-		return crashesToQuarantine + 1
+// isTrusted reports whether a part was answered of late. A part that crashes upstreams never is.
+func (r *Registry) isTrusted(f Fingerprint, now time.Time) bool {
+	c, ok := r.cleared[f]
+	return ok && f.isPart() && now.Sub(c.at) < trustTime
+}
+
+// isExplained reports whether another suspect of the same death is the more likely cause of it.
+func (r *Registry) isExplained(f Fingerprint, rec *record, d *death) bool {
+	now := r.now()
+	for g := range d.marks {
+		if other := r.records[g]; g != f && other != nil && !r.isTrusted(g, now) && r.outranks(g, other, f, rec) {
+			return true
+		}
 	}
-	return crashesToQuarantine
+	return false
 }
 
-// sufficientAt returns when the marks of a record that has enough of them began to suffice.
-func (r *record) sufficientAt() time.Time {
-	marks := slices.SortedFunc(maps.Values(r.marks), func(a, b deathMark) int { return a.at.Compare(b.at) })
-	return marks[r.requiredDeaths()-1].at.Add(quarantineDelay)
+// outranks reports whether g is a more likely cause of a death than f: upstreams died more often while they ran it, or as
+// often and fewer requests would be refused because of it.
+func (r *Registry) outranks(g Fingerprint, other *record, f Fingerprint, rec *record) bool {
+	if f.isPart() && g.isPart() {
+		return r.partOutranks(g, other, f, rec)
+	}
+	if other.weight(g) != rec.weight(f) {
+		return other.weight(g) > rec.weight(f)
+	}
+	// Of two requests with the same deaths neither is blamed, until there is one more.
+	return f.isPart() || len(rec.deaths) == rec.requiredDeaths(f)
 }
 
-// isLikelyCause reports whether enough upstreams died while they ran a request, and no other request explains the same
-// deaths better. If another explains them equally well, one more death is required.
-func (r *Registry) isLikelyCause(f Fingerprint, rec *record) bool {
-	required := rec.requiredDeaths()
-	if len(rec.marks) < required {
+// partOutranks is outranks for two parts. A part that is in most requests is there at most deaths, so that its number of
+// deaths says little beside a part of few requests.
+func (r *Registry) partOutranks(g Fingerprint, other *record, f Fingerprint, rec *record) bool {
+	usesG, usesF := r.usage.get(g).requests, r.usage.get(f).requests
+	weightG, weightF := other.weight(g), rec.weight(f)
+	switch {
+	case usesG*narrowerFactor <= usesF && usesG < usesF:
+		return weightG >= weightF || len(other.deaths) >= partCrashesToQuarantine
+	case usesF*narrowerFactor <= usesG && usesF < usesG:
 		return false
+	case weightG != weightF:
+		return weightG > weightF
+	case usesG != usesF:
+		return usesG < usesF
 	}
-	for other, o := range r.records {
-		if other == f || !o.presentAtAllDeathsOf(rec) {
-			continue
-		}
-		moreEarlyBreaks := o.count(BrokeBeforeFirstToken) - rec.count(BrokeBeforeFirstToken)
-		if moreEarlyBreaks > 0 || (moreEarlyBreaks == 0 && len(rec.marks) == required) {
-			return false
+	return g < f
+}
+
+// weight returns how strongly the deaths of a suspect speak against it. An answer that had begun speaks less.
+func (r *record) weight(f Fingerprint) int {
+	const earlyWeight, lateWeight = 2, 1
+	sum := 0
+	for _, d := range r.deaths {
+		if d.marks[f].Symptom == BrokeBeforeFirstToken {
+			sum += earlyWeight
+		} else {
+			sum += lateWeight
 		}
 	}
-	return true
+	return sum
 }
 
-// latestStamp returns the highest stamp of the marks.
-func (r *record) latestStamp() uint64 {
-	latest := uint64(0)
-	for _, m := range r.marks {
-		latest = max(latest, m.Stamp)
+// requiredDeaths returns how many deaths a quarantine requires.
+func (r *record) requiredDeaths(f Fingerprint) int {
+	required := crashesToQuarantine
+	if f.isPart() {
+		required = partCrashesToQuarantine
+	}
+	if slices.ContainsFunc(r.deaths, func(d *death) bool { return d.marks[f].Symptom == WentSilent }) {
+		required++
 	}
-	return latest
+	return required
 }
 
-// sameDeathWindow is the longest time between the marks of one death. An upstream that is back dies later.
-const sameDeathWindow = time.Second
-
-// presentAtAllDeathsOf reports whether a request ran on every upstream at the death that is a mark of another request.
-func (r *record) presentAtAllDeathsOf(other *record) bool {
-	for upstream, m := range other.marks {
-		own, ok := r.marks[upstream]
-		if !ok || own.at.Sub(m.at).Abs() > sameDeathWindow {
-			return false
+// isStrong reports whether the suspicion is strong enough for all nodes to run the request at one upstream only.
+func (r *Registry) isStrong(f Fingerprint, rec *record) bool {
+	count := 0
+	for _, d := range rec.deaths {
+		if r.isCorrelatedFailure(f, d) {
+			continue
+		}
+		count++
+		if d.marks[f].Symptom == BrokeBeforeFirstToken {
+			return true
 		}
 	}
-	return true
+	return count >= crashesToQuarantine
 }
 
-// isCorrelatedFailure reports whether other upstreams of the data centre died at the same time without the request of a
-// mark, and without another request that upstreams die of. One other is not enough: two nodes may each have lost an
-// upstream to copies of one request.
-func (r *Registry) isCorrelatedFailure(m Mark, now time.Time) bool {
+// upstreams returns the IDs of the upstreams that died, in order and each once.
+func (r *record) upstreams() []string {
+	ids := make(map[string]bool)
+	for _, d := range r.deaths {
+		ids[d.upstream] = true
+	}
+	return slices.Sorted(maps.Keys(ids))
+}
+
+// isCorrelatedFailure reports whether other upstreams of the data centre died at the same time as one that ran a suspect,
+// without the suspect and without another suspect that upstreams die of. One other is not enough: two nodes may each have
+// lost an upstream to copies of one request.
+func (r *Registry) isCorrelatedFailure(f Fingerprint, d *death) bool {
+	if d.marks[f].Quarantined {
+		return false // another node has judged it
+	}
 	others := 0
-	for upstream, d := range r.deaths {
-		if now.Sub(d.at) > suspicionTime {
-			delete(r.deaths, upstream)
+	for _, o := range r.deaths {
+		if o.upstream == d.upstream || o.dataCentre != d.dataCentre || o.at.Sub(d.at).Abs() > correlationWindow {
 			continue
 		}
-		if upstream == m.Upstream || d.dataCentre != m.DataCentre || now.Sub(d.at) > correlationWindow {
-			continue
-		}
-		if !slices.Contains(d.requests, m.Fingerprint) && !slices.ContainsFunc(d.requests, r.hasSeveralDeaths) {
+		if _, ok := o.marks[f]; !ok && !r.hasLikelyCause(o) {
 			others++
 		}
 	}
 	return others >= correlatedDeaths
 }
 
-// hasSeveralDeaths reports whether enough upstreams for a quarantine died while they ran a request.
-func (r *Registry) hasSeveralDeaths(f Fingerprint) bool {
-	rec := r.records[f]
-	return rec != nil && len(rec.marks) >= crashesToQuarantine
+// hasLikelyCause reports whether an upstream ran a suspect at its death during which others died as well.
+func (r *Registry) hasLikelyCause(d *death) bool {
+	now := r.now()
+	for f := range d.marks {
+		if rec := r.records[f]; rec != nil && len(rec.deaths) >= crashesToQuarantine && !r.isTrusted(f, now) {
+			return true
+		}
+	}
+	return false
 }
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -10,37 +10,42 @@
 
 // Constants of crash detection.
 const (
-	crashesToQuarantine = 2                // one more if an upstream went silent instead of breaking the connection
-	suspicionTime       = 10 * time.Minute // for which a mark makes its request a suspect
+	suspicionTime     = 10 * time.Minute       // for which a mark makes its request a suspect
+	defaultSettleTime = 100 * time.Millisecond // from which age on a mark counts for a quarantine
 	// More than correlatedDeaths upstreams of one data centre that die within correlationWindow of each other and with
-	// no request in common point to a failure of a rack, a switch or the data centre, not to a request.
+	// no suspect in common point to a failure of a rack, a switch or the data centre, not to a request.
 	correlatedDeaths  = 2
 	correlationWindow = time.Second
+	// sameDeathWindow is the longest time between the marks of one death, whose ages differ by the delays of gossip. An
+	// upstream that is back dies later.
+	sameDeathWindow = 2 * time.Second
+	contestTime     = 3 * time.Second // for which a clearance is repeated to a node that has the suspect in quarantine
+	maxRecords      = 4096            // suspects; the IDs of parts come from callers
+	maxDeaths       = 512
+	// seenSweepInterval is the time between two searches for marks that no node sends any more.
+	seenSweepInterval = time.Second
 )
 
-// record holds the suspicion against one request.
+// record holds the suspicion against one request or part.
 type record struct {
-	marks         map[string]deathMark // by upstream
-	quarantineEnd time.Time            // zero if the request was never quarantined
+	deaths        []*death
+	quarantineEnd time.Time // zero while it is not in quarantine
 }
 
-// deathMark is the death of one upstream that ran a request.
+// death is the death of one incarnation of an upstream, with the suspects that ran there.
+type death struct {
+	upstream   string
+	dataCentre string
+	at         time.Time
+	marks      map[Fingerprint]deathMark
+}
+
+// deathMark is a mark and the time of the death by it.
 type deathMark struct {
 	Mark
 	at time.Time
 }
 
-// count returns the number of deaths with a symptom.
-func (r *record) count(s Symptom) int {
-	n := 0
-	for _, m := range r.marks {
-		if m.Symptom == s {
-			n++
-		}
-	}
-	return n
-}
-
 // runningRequest is a request that this node has in flight.
 type runningRequest struct {
 	upstream  string
@@ -48,18 +53,24 @@
 	suspected chan struct{} // closed when another upstream died while it ran the request
 }
 
-// Registry holds one node's view of which requests crash upstreams.
+// Registry holds one node's view of which requests, and which parts of prompts, crash upstreams.
 type Registry struct {
 	mu         sync.Mutex
 	now        func() time.Time
 	stamp      func() uint64
 	quarantine time.Duration // length of a quarantine
+	settleTime time.Duration
 	records    map[Fingerprint]*record
 	running    map[Fingerprint]*runningRequest
-	deaths     map[string]death // by upstream, the latest
+	deaths     []*death // the oldest first
 	cleared    map[Fingerprint]clearance
+	ended      map[Fingerprint]time.Time // end of the latest quarantine; earlier deaths don't count
+	contested  map[Fingerprint]time.Time // when another node sent marks that a clearance withdraws
 	seen       map[deathID]seenMark
-	log        logr.Logger
+	// seenSweptAt is when old entries of seen were dropped last.
+	seenSweptAt time.Time
+	usage       usage
+	log         logr.Logger
 }
 
 // deathID identifies the death of an upstream that ran a request.
@@ -80,19 +91,16 @@
 // WithLogger sets the logger of marks and quarantines; by default they are not logged.
 func WithLogger(log logr.Logger) Option { return func(r *Registry) { r.log = log } }
 
+// WithSettleTime sets the age from which a mark counts for a quarantine. It leaves time for the marks of other suspects,
+// which may explain the same deaths better, to arrive from other nodes.
+func WithSettleTime(d time.Duration) Option { return func(r *Registry) { r.settleTime = d } }
+
 // clearance withdraws all marks with a lower stamp, which a node that was out of contact may still send.
 type clearance struct {
 	stamp uint64
 	at    time.Time
 }
 
-// death is the latest death of an upstream.
-type death struct {
-	at         time.Time
-	dataCentre string
-	requests   []Fingerprint // that ran on the upstream
-}
-
 // NewRegistry returns an empty registry; stamp returns increasing values that order marks across nodes.
 func NewRegistry(
 	now func() time.Time, stamp func() uint64, quarantine time.Duration, opts ...Option,
@@ -101,11 +109,13 @@
 		log:        logr.Discard(),
 		now:        now,
 		stamp:      stamp,
-		cleared:    make(map[Fingerprint]clearance),
 		quarantine: quarantine,
+		settleTime: defaultSettleTime,
+		cleared:    make(map[Fingerprint]clearance),
 		records:    make(map[Fingerprint]*record),
 		running:    make(map[Fingerprint]*runningRequest),
-		deaths:     make(map[string]death),
+		ended:      make(map[Fingerprint]time.Time),
+		contested:  make(map[Fingerprint]time.Time),
 		seen:       make(map[deathID]seenMark),
 	}
 	for _, o := range opts {
@@ -139,18 +149,19 @@
 	}
 	var avoid []string
 	latestAge := time.Duration(suspicionTime)
-	for upstream, m := range rec.marks {
-		if age := now.Sub(m.at); age < suspicionTime {
-			avoid = append(avoid, upstream)
+	for _, d := range rec.deaths {
+		if age := now.Sub(d.marks[f].at); age < suspicionTime && !r.isCorrelatedFailure(f, d) {
+			avoid = append(avoid, d.upstream)
 			latestAge = min(latestAge, age)
 		}
 	}
 	if len(avoid) == 0 {
-		delete(r.records, f)
 		return Clear{duplicateAt: duplicateAt}
 	}
 	slices.Sort(avoid)
-	return Suspect{duplicateAt: duplicateAt, avoid: avoid, strong: rec.isStrong(), age: latestAge}
+	return Suspect{
+		duplicateAt: duplicateAt, avoid: slices.Compact(avoid), strong: r.isStrong(f, rec), age: latestAge,
+	}
 }
 
 // StrongSuspects returns the strongly suspected requests, each of which all nodes run at one upstream only.
@@ -160,7 +171,7 @@
 	now := r.now()
 	var out []Fingerprint
 	for f, rec := range r.records {
-		if rec.isStrong() && !rec.quarantineEnd.After(now) {
+		if !f.isPart() && r.isStrong(f, rec) && !rec.quarantineEnd.After(now) {
 			out = append(out, f)
 		}
 	}
@@ -209,80 +220,11 @@
 	}
 }
 
-// Completed clears the suspicion of a request that an upstream completed. It returns the mark to send to the other
-// nodes, and false if the request was not suspected or is in quarantine.
-func (r *Registry) Completed(f Fingerprint) (Mark, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	rec := r.records[f]
-	if rec == nil || rec.quarantineEnd.After(r.now()) {
-		return Mark{}, false
-	}
-	return r.clear(f), true
-}
-
-// Clear removes all suspicion of a request at an operator's request, and returns the mark to send to the other nodes.
-func (r *Registry) Clear(f Fingerprint) Mark {
+// RecordUse counts a request with a part.
+func (r *Registry) RecordUse(part Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clear(f)
-}
-
-func (r *Registry) clear(f Fingerprint) Mark {
-	m := Mark{Fingerprint: f, Stamp: r.stamp(), Cleared: true}
-	r.applyClearance(m)
-	return m
-}
-
-func (r *Registry) applyClearance(m Mark) {
-	now := r.now()
-	for f, c := range r.cleared {
-		if now.Sub(c.at) > suspicionTime {
-			delete(r.cleared, f)
-		}
-	}
-	if r.cleared[m.Fingerprint].stamp >= m.Stamp {
-		return
-	}
-	r.log.Info("crash-cleared", "fingerprint", string(m.Fingerprint), "stamp", m.Stamp)
-	r.cleared[m.Fingerprint] = clearance{stamp: m.Stamp, at: now}
-	delete(r.records, m.Fingerprint)
-}
-
-// RecordDeath marks a request that ran on an upstream when the upstream died. It returns the mark to send to the other
-// nodes, and false if the death is part of a correlated failure.
-func (r *Registry) RecordDeath(f Fingerprint, upstream, dataCentre string, symptom Symptom) (Mark, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m := Mark{Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp(), Symptom: symptom}
-	return m, r.mark(m, "own")
-}
-
-// ApplyMark applies a mark from another node.
-func (r *Registry) ApplyMark(m Mark) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m.Cleared {
-		r.applyClearance(m)
-		return
-	}
-	if m.Stamp <= r.cleared[m.Fingerprint].stamp || r.isRepeated(m) {
-		return
-	}
-	r.mark(m, "gossip")
-}
-
-// isRepeated reports whether a mark or a later one of the same death was seen before. A mark that was not applied counts
-// as new once another node has the request in quarantine.
-func (r *Registry) isRepeated(m Mark) bool {
-	if m.Stamp > r.seen[deathID{m.Fingerprint, m.Upstream}].stamp {
-		return false
-	}
-	if rec := r.records[m.Fingerprint]; m.Quarantined && rec != nil {
-		_, ok := rec.marks[m.Upstream]
-		return ok
-	}
-	return !m.Quarantined
+	r.usage.use(part, r.now()).requests++
 }
 
 // Evidence returns the marks of the requests in quarantine, for nodes that may lack them.
@@ -295,7 +237,8 @@
 		if !r.updateQuarantine(f, rec, now) {
 			continue
 		}
-		for _, m := range rec.marks {
+		for _, d := range rec.deaths {
+			m := d.marks[f]
 			mark := m.Mark
 			mark.Age, mark.Quarantined = now.Sub(m.at), true
 			out = append(out, mark)
@@ -304,50 +247,6 @@
 	return out
 }
 
-// mark applies m unless the death is part of a correlated failure, and reports whether it did. The source of the mark is
-// logged.
-func (r *Registry) mark(m Mark, source string) bool {
-	now := r.now()
-	at := now.Add(-m.Age)
-	r.remember(m, now)
-	if !m.Quarantined && r.isCorrelatedFailure(m, now) {
-		r.logMark(m, source, "correlated-failure")
-		return false
-	}
-	d := r.deaths[m.Upstream]
-	if at.Sub(d.at) > correlationWindow {
-		d = death{at: at, dataCentre: m.DataCentre}
-	}
-	d.requests = append(d.requests, m.Fingerprint)
-	r.deaths[m.Upstream] = d
-	rec := r.records[m.Fingerprint]
-	if rec == nil {
-		rec = &record{marks: make(map[string]deathMark)}
-		r.records[m.Fingerprint] = rec
-	}
-	r.notifyRunning(m)
-	if _, ok := rec.marks[m.Upstream]; !ok {
-		r.logMark(m, source, "marked")
-	}
-	rec.marks[m.Upstream] = deathMark{m, at}
-	return true
-}
-
-// remember records a mark as seen and forgets those that no node sends any more.
-func (r *Registry) remember(m Mark, now time.Time) {
-	for id, s := range r.seen {
-		if now.Sub(s.at) > suspicionTime {
-			delete(r.seen, id)
-		}
-	}
-	r.seen[deathID{m.Fingerprint, m.Upstream}] = seenMark{m.Stamp, now}
-}
-
-func (r *Registry) logMark(m Mark, source, outcome string) {
-	r.log.Info("crash-mark", "fingerprint", string(m.Fingerprint), "upstream", m.Upstream, "source", source,
-		"stamp", m.Stamp, "symptom", m.Symptom.String(), "outcome", outcome)
-}
-
 // Entry is a quarantined request as operators see it.
 type Entry struct {
 	Fingerprint Fingerprint   `json:"fingerprint"`
@@ -366,10 +265,7 @@
 			continue
 		}
 		e := Entry{Fingerprint: f, Remaining: rec.quarantineEnd.Sub(now)}
-		for upstream := range rec.marks {
-			e.Upstreams = append(e.Upstreams, upstream)
-		}
-		slices.Sort(e.Upstreams)
+		e.Upstreams = rec.upstreams()
 		out = append(out, e)
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return int(a.Remaining - b.Remaining) })
--- /dev/null
+++ b/core/crash/usage.go
@@ -0,0 +1,49 @@
+package crash
+
+import "time"
+
+// Bounds of the record of parts in use.
+const (
+	usagePeriod  = 30 * time.Second // a part is forgotten after one to two periods without use
+	maxUsedParts = 4096             // in one period; the IDs of parts come from callers
+)
+
+// partUse is how one part was used of late.
+type partUse struct {
+	requests int
+	soundEnd clearance // latest complete answer to a request with the part; zero if there was none
+}
+
+// usage counts the latest requests with each part on this node, in two periods of which the older is dropped.
+type usage struct {
+	current, previous map[Fingerprint]*partUse
+	startedAt         time.Time // of the current period
+}
+
+// use returns the entry of a part in the current period.
+func (u *usage) use(f Fingerprint, now time.Time) *partUse {
+	if u.current == nil || now.Sub(u.startedAt) > usagePeriod || len(u.current) >= maxUsedParts {
+		u.previous, u.current, u.startedAt = u.current, make(map[Fingerprint]*partUse), now
+	}
+	p := u.current[f]
+	if p == nil {
+		p = &partUse{}
+		if old := u.previous[f]; old != nil {
+			*p = *old
+			p.requests /= 2 // so that the count decays
+		}
+		u.current[f] = p
+	}
+	return p
+}
+
+// get returns how a part was used of late.
+func (u *usage) get(f Fingerprint) partUse {
+	if p := u.current[f]; p != nil {
+		return *p
+	}
+	if p := u.previous[f]; p != nil {
+		return *p
+	}
+	return partUse{}
+}
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -3,14 +3,19 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint identifies a request by its target and body.
+// Fingerprint identifies what may crash upstreams: a request by its target and body, or one part of the prompts of many
+// requests.
 type Fingerprint string
 
+// partPrefix begins the fingerprints of parts.
+const partPrefix = "part-"
+
 // Key returns a hash of the fingerprint.
 func (f Fingerprint) Key() uint64 { return xxhash.Sum64String(string(f)) }
 
@@ -26,6 +31,14 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
+// NewPartFingerprint returns the fingerprint of a part of prompts for a target.
+func NewPartFingerprint(target, part string) Fingerprint {
+	return partPrefix + NewFingerprint(target, []byte(part))
+}
+
+// isPart reports whether the fingerprint is that of a part, which many requests may share.
+func (f Fingerprint) isPart() bool { return strings.HasPrefix(string(f), partPrefix) }
+
 // Verdict says whether and where a request may run: Clear, Suspect or Quarantined.
 type Verdict interface{ verdict() }
 
@@ -96,7 +109,8 @@
 	return BrokeBeforeFirstToken
 }
 
-// Mark states that an upstream died while it ran a request, or that the request is cleared. Nodes exchange marks.
+// Mark states that an upstream died while it ran a request, or a request with a part, or that the request or part is
+// cleared. Nodes exchange marks.
 type Mark struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Upstream    string      `json:"upstream"`
@@ -105,6 +119,6 @@
 	Symptom     Symptom     `json:"sign"`
 	Cleared     bool        `json:"cleared"` // an operator or a complete answer removed the suspicion
 
-	Age         time.Duration `json:"-"` // of the death, when the mark was sent
+	Age         time.Duration `json:"-"` // of the death or the clearance, when the mark was sent
 	Quarantined bool          `json:"-"` // the sender has the request in quarantine
 }
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,8 +13,9 @@
 	"rhubarbspread/core/reply"
 )
 
-// Crashes is the registry of requests suspected of crashing upstreams.
+// Crashes is the registry of requests, and of parts of prompts, that are suspected of crashing upstreams.
 type Crashes interface {
+	RecordUse(part crash.Fingerprint)
 	Verdict(f crash.Fingerprint) crash.Verdict
 	RecordDeath(f crash.Fingerprint, upstream, dataCentre string, symptom crash.Symptom) (crash.Mark, bool)
 	Completed(f crash.Fingerprint) (crash.Mark, bool)
@@ -32,6 +34,24 @@
 	return crash.NewFingerprint(q.Method+" "+q.Host+q.URI+" "+caller, q.Body)
 }
 
+// maxSuspectParts bounds how many parts of a prompt can be suspected.
+const maxSuspectParts = 32
+
+// suspects returns the fingerprints that a request may be suspected by: of its parts, then its own. The last part of a
+// prompt belongs to one request or session, and is left out.
+func (q *Request) suspects() []crash.Fingerprint {
+	var list []crash.Fingerprint
+	for i, part := range q.PromptParts {
+		if part == "" || i == len(q.PromptParts)-1 || len(list) == maxSuspectParts {
+			continue
+		}
+		if f := crash.NewPartFingerprint(q.Service.Name, part); !slices.Contains(list, f) {
+			list = append(list, f)
+		}
+	}
+	return append(list, q.Fingerprint())
+}
+
 // maxLoggedParts bounds how many parts of a prompt a log line names.
 const maxLoggedParts = 8
 
@@ -40,33 +60,44 @@
 	return strings.Join(q.PromptParts[:min(len(q.PromptParts), maxLoggedParts)], ",")
 }
 
-// checkQuarantine returns a refusal if the request is in quarantine because copies of it crashed upstreams.
+// checkQuarantine returns a refusal if the request, or a part of its prompt, is in quarantine because it crashed upstreams.
 func (r *run) checkQuarantine() error {
-	verdict, ok := r.executor.crashes.Verdict(r.fingerprint).(crash.Quarantined)
-	if !ok {
-		return nil
+	for _, f := range r.suspects {
+		if verdict, ok := r.executor.crashes.Verdict(f).(crash.Quarantined); ok {
+			return r.quarantineRefusal(f, verdict.Remaining())
+		}
 	}
+	return nil
+}
+
+// quarantineRefusal returns the refusal of a request for a suspect in quarantine.
+func (r *run) quarantineRefusal(f crash.Fingerprint, remaining time.Duration) error {
 	r.executor.meter.Count("requests-quarantined")
-	err := r.failure(
-		"upstreams died of copies of this request; quarantined for "+verdict.Remaining().Round(time.Second).String(),
-		http.StatusBadGateway)
+	cause := "upstreams died of copies of this request"
+	if f != r.fingerprint {
+		cause = "upstreams died of a part of this prompt"
+	}
+	err := r.failure(cause+"; quarantined for "+remaining.Round(time.Second).String(), http.StatusBadGateway)
 	var refusal *Refusal
 	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
-		refusal.RetryAfter = verdict.Remaining()
+		refusal.RetryAfter = remaining
 	}
+	r.executor.log.Info("request-quarantined", "request", r.request.ID, "suspect", string(f),
+		"remaining-ms", remaining.Milliseconds(), "attempts", r.summary.Attempts())
 	return err
 }
 
-// updateSuspicion updates the suspicion of a request after an attempt. The request is held responsible for the death of
-// an upstream that broke the connection before its first event and accepts no new connection.
-func (r *run) updateSuspicion(ctx context.Context, res *board.Reservation, o reply.Outcome, progressed bool) {
+// updateSuspicion updates the suspicion of a request and of its parts after an attempt.
+func (r *run) updateSuspicion(ctx context.Context, res *board.Reservation, o reply.Outcome) {
 	if _, ok := o.(reply.Done); ok {
-		if m, ok := r.executor.crashes.Completed(r.fingerprint); ok {
-			r.executor.broadcast(m)
-		}
+		r.clearSuspicion()
+		return
+	}
+	if unknown, ok := o.(reply.Unknown); !ok || unknown.Fault() != reply.Broken {
 		return
 	}
-	if unknown, ok := o.(reply.Unknown); !ok || unknown.Fault() != reply.Broken || progressed {
+	suspects, symptom := r.suspectsOfBreak()
+	if len(suspects) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reconnectTimeout)
@@ -74,11 +105,42 @@
 	if err := r.executor.transport.Probe(ctx, res.Upstream); err == nil || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	m, ok := r.executor.crashes.RecordDeath(r.fingerprint, res.Upstream.ID, res.Upstream.DataCentre,
-		crash.BrokeBeforeFirstToken)
+	marked := 0
+	for _, f := range suspects {
+		m, ok := r.executor.crashes.RecordDeath(f, res.Upstream.ID, res.Upstream.DataCentre, symptom)
+		if ok {
+			marked++
+			r.executor.broadcast(m)
+		}
+	}
 	r.executor.log.Info("upstream-died", "request", r.request.ID, "fingerprint", string(r.fingerprint),
-		"parts", r.request.describeParts(), "upstream", res.Upstream.ID, "marked", ok)
-	if ok {
-		r.executor.broadcast(m)
+		"parts", r.request.describeParts(), "upstream", res.Upstream.ID, "symptom", symptom.String(), "marked", marked)
+}
+
+// maxCrashDelay is how long after the first event of an answer its upstream may crash of a part of the prompt.
+const maxCrashDelay = time.Second
+
+// suspectsOfBreak returns what may have crashed an upstream that broke the connection, and the symptom. An answer that
+// had begun leaves only the parts of its prompt, and only for a moment.
+func (r *run) suspectsOfBreak() ([]crash.Fingerprint, crash.Symptom) {
+	switch {
+	case r.attemptEventAt.IsZero():
+		return r.suspects, crash.BrokeBeforeFirstToken
+	case time.Since(r.attemptEventAt) < maxCrashDelay:
+		return r.suspects[:len(r.suspects)-1], crash.BrokeAfterTokens
+	}
+	return nil, 0
+}
+
+// clearSuspicion clears the suspicion of a request that was answered, and of its parts if an upstream wrote the answer
+// to its end.
+func (r *run) clearSuspicion() {
+	for _, f := range r.suspects {
+		if f != r.fingerprint && !r.wroteAnswer {
+			continue
+		}
+		if m, ok := r.executor.crashes.Completed(f); ok {
+			r.executor.broadcast(m)
+		}
 	}
 }
--- a/core/proxy/crash_test.go
+++ b/core/proxy/crash_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"rhubarbspread/core/crash"
 	"rhubarbspread/core/rules"
 )
 
@@ -98,3 +100,69 @@
 		}
 	}
 }
+
+// TestSuspectsOfRequest checks what a request may be suspected by: the parts of its prompt but the last, and itself.
+func TestSuspectsOfRequest(t *testing.T) {
+	part := func(id string) crash.Fingerprint { return crash.NewPartFingerprint("s", id) }
+	tests := []struct {
+		name  string
+		parts []string
+		want  []crash.Fingerprint
+	}{
+		{"no parts", nil, nil},
+		{"only its own part", []string{"a"}, nil},
+		{"two shared parts", []string{"a", "b", "c"}, []crash.Fingerprint{part("a"), part("b")}},
+		{"a part twice, and an unreadable one", []string{"a", "", "a", "c"}, []crash.Fingerprint{part("a")}},
+	}
+	for _, tc := range tests {
+		q := request(route(rules.Streaming), nil)
+		q.PromptParts = tc.parts
+		if got, want := q.suspects(), append(tc.want, q.Fingerprint()); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", tc.name, got, want)
+		}
+	}
+}
+
+// TestBreaksThatMarkParts checks which breaks of a stream mark the parts of the prompt, and which ends clear them.
+func TestBreaksThatMarkParts(t *testing.T) {
+	broken := bodyStep{err: errors.New("connection reset")}
+	tests := []struct {
+		name               string
+		steps              []bodyStep
+		endsWithConnection bool
+		marks, cleared     bool
+	}{
+		{"before the first event", []bodyStep{broken}, false, true, false},
+		{"just after the first event", append(eventsFrom(1, 1, 0), broken), false, true, false},
+		{"long after the first event", append(eventsFrom(1, 20, 100*time.Millisecond), broken), false, false, false},
+		{"a whole answer", eventsFrom(1, 3, 0), false, false, true},
+		{"an answer that may have been cut between two events", eventsFrom(1, 3, 0), true, false, false},
+		{"an answer without an event", nil, false, false, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeFleet{list: plainUpstreams(6), probesFail: true}
+				f.answer = func(*Send, int) (*Answer, error) {
+					a := sealed("1", &scriptedBody{steps: slices.Clone(tc.steps)})
+					a.EndsWithConnection = tc.endsWithConnection
+					return a, nil
+				}
+				e := f.executor()
+				part := crash.NewPartFingerprint("s", "a")
+				f.crashes.RecordDeath(part, "earlier", "dc", crash.BrokeBeforeFirstToken)
+				q := request(route(rules.Streaming), nil)
+				q.PromptParts = []string{"a", "b"}
+				_ = e.Run(t.Context(), q, &fakeSink{})
+				isMarked := func(m crash.Mark) bool { return m.Fingerprint == part && !m.Cleared }
+				isCleared := func(m crash.Mark) bool { return m.Fingerprint == part && m.Cleared }
+				if got := slices.ContainsFunc(f.marks, isMarked); got != tc.marks {
+					t.Errorf("the part is marked: %v, want %v", got, tc.marks)
+				}
+				if got := slices.ContainsFunc(f.marks, isCleared); got != tc.cleared {
+					t.Errorf("the part is cleared: %v, want %v", got, tc.cleared)
+				}
+			})
+		})
+	}
+}
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -105,6 +105,9 @@
 	lastEventAt      time.Time     // when the caller had the latest event
 	longestGap       time.Duration // between two events
 	fingerprint      crash.Fingerprint
+	suspects         []crash.Fingerprint // of the parts of the prompt, then the fingerprint
+	attemptEventAt   time.Time           // when the attempt's first event arrived, or zero
+	wroteAnswer      bool                // the attempt's answer is a success and complete beyond doubt
 
 	mu      sync.Mutex // guards exclude, which the stall watcher of a stream changes as well
 	exclude []string   // IDs of upstreams that failed the request
@@ -114,7 +117,11 @@
 // ErrCallerGone.
 func (e *Executor) Run(ctx context.Context, q *Request, sink Sink) error {
 	r := &run{executor: e, request: q, sink: sink, lastEventID: noID, lastEventText: q.LastEventID,
-		started: time.Now(), fingerprint: q.Fingerprint()}
+		started: time.Now(), suspects: q.suspects()}
+	r.fingerprint = r.suspects[len(r.suspects)-1]
+	for _, part := range r.suspects[:len(r.suspects)-1] {
+		e.crashes.RecordUse(part)
+	}
 	e.budget.RecordFirstAttempt(q.Service.Name)
 	ctx, cancel := context.WithDeadline(ctx, q.ExpiresAt)
 	defer cancel()
@@ -126,10 +133,13 @@
 		if err != nil {
 			return r.end(ctx, err)
 		}
-		before := r.lastEventID
+		if err := r.checkQuarantine(); err != nil { // it may have begun during the wait
+			res.Release()
+			return r.end(ctx, err)
+		}
 		outcome := r.attempt(ctx, res)
 		res.Release()
-		r.updateSuspicion(ctx, res, outcome, r.lastEventID != before)
+		r.updateSuspicion(ctx, res, outcome)
 		r.summary.Add(outcome)
 		if _, ok := outcome.(reply.Done); ok {
 			return r.end(ctx, nil)
@@ -266,6 +276,7 @@
 		"path", board.Describe(res.Hops()), "expected-first-ms", res.Expected.FirstEvent.Milliseconds(),
 		"expected-pause-ms", res.Expected.EventGap.Milliseconds(), "last-event", r.lastEventID,
 		"rules-version", rulesVersion, "list-version", listVersion, "waited-ms", began.Sub(r.started).Milliseconds())
+	r.attemptEventAt, r.wroteAnswer = time.Time{}, false
 	outcome := r.send(ctx, res)
 	r.executor.meter.Count("attempts-" + outcomeName(outcome))
 	if _, ok := outcome.(reply.Done); !ok {
@@ -362,6 +373,7 @@
 	if len(body) == maxBufferedBytes {
 		return r.deliverRest(a)
 	}
+	r.wroteAnswer = a.isComplete()
 	return reply.Done{}
 }
 
@@ -376,6 +388,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			r.wroteAnswer = a.isComplete()
 			return reply.Done{}
 		}
 		if err != nil {
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -73,6 +73,7 @@
 		}
 		if isFirst {
 			isFirst = false
+			r.attemptEventAt = time.Now()
 			r.executor.meter.Observe("first-event-us", time.Since(r.started))
 			res.PrefillDone()
 			r.executor.board.RecordResponse(res.Upstream, false, 0)
@@ -96,6 +97,7 @@
 // complete finishes a stream that ended between events.
 func (r *run) complete(res *board.Reservation, a *Answer) reply.Outcome {
 	r.executor.board.RecordResponse(res.Upstream, false, 0)
+	r.wroteAnswer = a.isComplete() && !r.attemptEventAt.IsZero()
 	if !r.headersSent {
 		r.headersSent = true
 		r.sink.Begin(a.Status, a.Header)
--- a/core/proxy/types.go
+++ b/core/proxy/types.go
@@ -75,6 +75,14 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser // Close drops the connection unless the body was read to its end
+	// EndsWithConnection is set if the answer states neither its length nor its chunks, so that an end of the connection
+	// may also be that of the upstream.
+	EndsWithConnection bool
+}
+
+// isComplete reports whether an answer that was read to its end is a success and complete beyond doubt.
+func (a *Answer) isComplete() bool {
+	return a.Status < http.StatusMultipleChoices && !a.EndsWithConnection
 }
 
 // Transport sends attempts to upstreams.
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -39,6 +39,8 @@
 	sweepInterval  = time.Second
 	quarantineTime = 10 * time.Minute // of a request that crashes upstreams; the same as in package daemon
 	leaseName      = "placement"
+	// markSettleTime is three periods of gossip, which a mark takes from node to node through two relays.
+	markSettleTime = 450 * time.Millisecond
 )
 
 // Node is the daemon of one entry VM.
@@ -88,7 +90,7 @@
 	clock := event.NewClock(time.Now)
 	n.crashes = &crashMarks{clock: clock}
 	n.crashes.Registry = crash.NewRegistry(time.Now, func() uint64 { return uint64(clock.Next()) }, quarantineTime,
-		crash.WithLogger(n.log))
+		crash.WithLogger(n.log), crash.WithSettleTime(markSettleTime))
 	n.mesh = mesh.New(mesh.Config{
 		Node: c.Node, DataCentre: c.DataCentre, DatagramAddress: c.DatagramAddress, RPCAddress: c.RPCAddress,
 	}, n.board, n.storeState, n.otherNodes, n.crashes, n.budget, n.log)
--- a/io/entry/transport.go
+++ b/io/entry/transport.go
@@ -55,5 +55,6 @@
 	return &proxy.Answer{
 		AnswerInfo: t.headers.ReadAnswerInfo(s.ID, resp.StatusCode, resp.Header),
 		Status:     resp.StatusCode, Header: resp.Header, Body: resp.Body,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}, nil
 }
--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -34,6 +34,12 @@
 	crasherBody        = "crash"
 )
 
+// soundRequest is a request that crashes nothing.
+type soundRequest struct {
+	askedAt  time.Time
+	isServed bool
+}
+
 // crasherFleet is a group of nodes in front of upstreams that one request crashes.
 type crasherFleet struct {
 	*group
@@ -42,20 +48,21 @@
 	random    *rand.Rand
 	requests  sync.WaitGroup
 	bodies    map[crash.Fingerprint]string // of the requests that were sent
+	parts     map[crash.Fingerprint]string // of their prompts
 
 	mu        sync.Mutex
 	downUntil map[string]time.Time     // by upstream
 	crashed   map[string]chan struct{} // by upstream; closed when it crashes
 	crashes   map[string][]time.Time   // by body or part
 	lateSends map[string]int           // by body or part
-	failed    int                      // requests other than the crashing one that got no answer
+	sound     []soundRequest           // those that crash nothing
 }
 
 func newCrasherFleet(t *testing.T, nodes int, seed uint64) *crasherFleet {
 	f := &crasherFleet{
 		group: newGroup(t, nodes, "a", "b", "c", "d"), downUntil: make(map[string]time.Time),
 		crashed: make(map[string]chan struct{}), crashes: make(map[string][]time.Time), lateSends: make(map[string]int),
-		bodies: make(map[crash.Fingerprint]string), random: rand.New(rand.NewPCG(seed, 1)),
+		bodies: make(map[crash.Fingerprint]string), parts: make(map[crash.Fingerprint]string), random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	f.upstreams = nil
 	for i := range 40 {
@@ -111,13 +118,18 @@
 		Service: &rules.Service{Name: "s"}, ExpiresAt: time.Now().Add(20 * time.Second),
 	}
 	f.bodies[q.Fingerprint()] = body
-	executor := f.executors[node]
+	for _, part := range parts {
+		f.parts[crash.NewPartFingerprint(q.Service.Name, part)] = part
+	}
+	executor, askedAt := f.executors[node], time.Now()
 	f.requests.Go(func() {
-		if err := executor.Run(f.t.Context(), q, discardSink{}); err != nil && !strings.HasPrefix(body, crasherBody) {
-			f.mu.Lock()
-			f.failed++
-			f.mu.Unlock()
+		err := executor.Run(f.t.Context(), q, discardSink{})
+		if crashCause(q) != "" {
+			return
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.sound = append(f.sound, soundRequest{askedAt, err == nil})
 	})
 }
 
@@ -140,13 +152,51 @@
 	f.t.Helper()
 	for _, m := range f.nodes {
 		for _, e := range m.crashes.List() {
-			if body := f.bodies[e.Fingerprint]; !strings.HasPrefix(body, crasherBody) {
+			body, ok := f.bodies[e.Fingerprint]
+			if ok && !strings.HasPrefix(body, crasherBody) && !strings.HasPrefix(body, poisonedBody) {
 				f.t.Errorf("%s quarantined the request %q", m.config.Node, body)
 			}
 		}
 	}
 }
 
+// checkParts fails if a part that crashes nothing is in quarantine.
+func (f *crasherFleet) checkParts() {
+	f.t.Helper()
+	for _, m := range f.nodes {
+		for _, e := range m.crashes.List() {
+			if part, ok := f.parts[e.Fingerprint]; ok && !strings.HasPrefix(part, crashingPart) {
+				f.t.Errorf("%s quarantined the part %q", m.config.Node, part)
+			}
+		}
+	}
+}
+
+// checkSound fails if less than half of the sound requests are served from twice settleTime after the last crash that
+// opens a bound.
+func (f *crasherFleet) checkSound() {
+	f.t.Helper()
+	var from time.Time
+	for cause, crashes := range f.crashes {
+		if bound := boundAfter(cause); len(crashes) >= bound && crashes[bound-1].After(from) {
+			from = crashes[bound-1]
+		}
+	}
+	asked, served := 0, 0
+	for _, s := range f.sound {
+		if s.askedAt.Sub(from) < 2*settleTime {
+			continue
+		}
+		asked++
+		if s.isServed {
+			served++
+		}
+	}
+	if asked == 0 || 2*served < asked {
+		f.t.Errorf("%d of %d sound requests were served, want at least half", served, asked)
+	}
+}
+
 // nodeView gives one node's executor its fleet and its connections to upstreams.
 type nodeView struct {
 	fleet     *crasherFleet
--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -40,6 +40,9 @@
 		return time.Since(r.sentAt) > markRepeatTime
 	})
 	var list []*wire.Crash
+	for _, mark := range m.crashes.Acquittals() {
+		list = append(list, encodeMark(mark))
+	}
 	for _, r := range m.recentMarks {
 		mark := r.mark
 		mark.Age = time.Since(r.sentAt)
@@ -54,14 +57,14 @@
 	return limitMarks(list)
 }
 
-// limitMarks returns the most important marks: those of quarantined requests, then the latest. When a rack or a data
+// limitMarks returns the most important marks: those of quarantined requests and clearances, then the latest. When a rack or a data
 // centre fails, there are many, which say little.
 func limitMarks(list []*wire.Crash) []*wire.Crash {
 	if len(list) <= maxMarks {
 		return list
 	}
 	rank := func(c *wire.Crash) int {
-		if c.GetQuarantined() {
+		if c.GetQuarantined() || c.GetCleared() {
 			return 0
 		}
 		return 1
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -44,8 +44,10 @@
 // CrashRegistry receives the marks that other nodes set on requests that crash upstreams.
 type CrashRegistry interface {
 	ApplyMark(m crash.Mark)
-	// Evidence returns the marks of the requests in quarantine.
+	// Evidence returns the marks of the suspects in quarantine.
 	Evidence() []crash.Mark
+	// Acquittals returns the clearances that other nodes may lack.
+	Acquittals() []crash.Mark
 }
 
 // RetryBudget is the retry budget that all nodes share.
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -53,6 +53,9 @@
 // Evidence returns the marks of the requests in quarantine.
 func (m *member) Evidence() []crash.Mark { return m.crashes.Evidence() }
 
+// Acquittals returns the clearances that other nodes may lack.
+func (m *member) Acquittals() []crash.Mark { return m.crashes.Acquittals() }
+
 // newGroup returns n nodes spread over data centres, and four upstreams in the first of these.
 func newGroup(t *testing.T, n int, dataCentres ...string) *group {
 	g := &group{t: t, datagramsSent: make(map[string]int)}
@@ -77,7 +80,7 @@
 	name := fmt.Sprintf("node-%d", i)
 	stamp := uint64(0)
 	m.crashes = crash.NewRegistry(time.Now, func() uint64 { stamp = max(stamp+1, uint64(time.Now().UnixNano())); return stamp },
-		time.Hour)
+		time.Hour, crash.WithSettleTime(3*gossipPeriod))
 	m.Mesh = New(Config{Node: name, DataCentre: m.dataCentre, DatagramAddress: m.address.String()}, m.board,
 		func() StoreState { return StoreState{RulesVersion: uint64(i)} },
 		func() map[string]Node { return g.others(name) }, m, m.budget, logr.Discard())
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -7,8 +7,13 @@
 	"time"
 )
 
-// crashingPart begins the IDs of parts that crash upstreams.
-const crashingPart = "c0"
+// The requests of a partTraffic.
+const (
+	crashingPart = "c0" // begins the IDs of parts that crash upstreams
+	poisonedBody = "poisoned-"
+	firstPart    = "f1" // of all other prompts
+	middleParts  = 6    // that sound and crashing requests share
+)
 
 // partTraffic is the traffic of requests whose prompts share parts.
 type partTraffic struct {
@@ -19,12 +24,6 @@
 	sent      int
 }
 
-// Parts that the requests share with each other, beside the crashing ones.
-const (
-	firstPart   = "f1"
-	middleParts = 6
-)
-
 // tick sends the requests of one tick: a sound one, and crashing ones at their rate.
 func (p *partTraffic) tick() {
 	f := p.fleet
@@ -39,35 +38,114 @@
 	if p.isFirst {
 		parts = []string{part, middle, "bb"}
 	}
-	f.askWithParts(f.random.IntN(len(f.nodes)), fmt.Sprint("poisoned-", p.sent), parts)
+	f.askWithParts(f.random.IntN(len(f.nodes)), fmt.Sprint(poisonedBody, p.sent), parts)
+}
+
+// partCase is a traffic with disturbances beside it.
+type partCase struct {
+	name      string
+	nodes     int
+	perSecond float64
+	crashing  int
+	isFirst   bool
+	disturb   func(f *crasherFleet, elapsed time.Duration) // called before each tick
+}
+
+// playPartCase plays a case at one seed and applies the checks.
+func playPartCase(t *testing.T, tc partCase, seed uint64, checks ...func(*crasherFleet)) {
+	t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newCrasherFleet(t, tc.nodes, seed)
+			traffic := &partTraffic{fleet: f, perSecond: tc.perSecond, crashing: tc.crashing, isFirst: tc.isFirst}
+			f.run(30*time.Second, func(elapsed time.Duration) {
+				if tc.disturb != nil {
+					tc.disturb(f, elapsed)
+				}
+				traffic.tick()
+			})
+			for _, check := range checks {
+				check(f)
+			}
+		})
+	})
 }
 
 // TestRequestsWithCrashingPartAreRefused guards against requests that are sent on though upstreams died of a part that
 // they share with others.
 func TestRequestsWithCrashingPartAreRefused(t *testing.T) {
-	tests := []struct {
-		name      string
-		nodes     int
-		perSecond float64
-		crashing  int
-		isFirst   bool
-	}{
-		{"a fifth of the traffic", crasherNodes, 13, 1, false},
-		{"one request a second", crasherNodes, 1, 1, false},
-		{"few nodes", 5, 4, 1, false},
-		{"two parts", crasherNodes, 6, 2, false},
-		{"the first part of its prompts", crasherNodes, 4, 1, true},
+	tests := []partCase{
+		{"a fifth of the traffic", crasherNodes, 13, 1, false, nil},
+		{"one request a second", crasherNodes, 1, 1, false, nil},
+		{"few nodes", 5, 4, 1, false, nil},
+		{"two parts", crasherNodes, 6, 2, false, nil},
+		{"the first part of its prompts", crasherNodes, 4, 1, true, nil},
 	}
 	for _, tc := range tests {
 		for seed := range uint64(2) {
-			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newCrasherFleet(t, tc.nodes, seed)
-					traffic := &partTraffic{fleet: f, perSecond: tc.perSecond, crashing: tc.crashing, isFirst: tc.isFirst}
-					f.run(30*time.Second, func(time.Duration) { traffic.tick() })
-					f.checkSends()
-				})
-			})
+			playPartCase(t, tc, seed, (*crasherFleet).checkSends)
+		}
+	}
+}
+
+// flap stops a third of the upstreams again and again.
+func flap(f *crasherFleet, elapsed time.Duration) {
+	const interval = 1500 * time.Millisecond
+	if elapsed%interval == 0 {
+		for _, u := range f.upstreams[:len(f.upstreams)/3] {
+			f.stop(u, interval/2)
+		}
+	}
+}
+
+// loseRack stops a quarter of the upstreams, those of one data centre, for some seconds.
+func loseRack(f *crasherFleet, elapsed time.Duration) {
+	if elapsed != 3*time.Second {
+		return
+	}
+	for _, u := range f.upstreams {
+		if u.DataCentre == "a" {
+			f.stop(u, upstreamDownTime)
+		}
+	}
+}
+
+// restartHalf restarts half of the nodes some seconds after the first crashes.
+func restartHalf(f *crasherFleet, elapsed time.Duration) {
+	if elapsed == 15*time.Second {
+		for i := range len(f.nodes) / 2 {
+			f.restart(i)
+		}
+	}
+}
+
+// TestCrashingPartIsFoundAmongOtherDisturbances guards against a verdict on a part that other deaths or restarts of nodes
+// prevent, against sound requests that are refused for a part that they share with crashing ones, and against innocent
+// parts and requests in quarantine.
+func TestCrashingPartIsFoundAmongOtherDisturbances(t *testing.T) {
+	tests := []partCase{
+		{"nothing else", crasherNodes, 4, 1, false, nil},
+		{"flapping upstreams", crasherNodes, 4, 1, false, flap},
+		{"a lost rack", crasherNodes, 4, 1, false, loseRack},
+		{"restarted nodes", crasherNodes, 4, 1, false, restartHalf},
+		{"rare requests and flapping upstreams", crasherNodes, 1, 1, false, flap},
+		{"the first part and a lost rack", 9, 4, 1, true, loseRack},
+	}
+	for _, tc := range tests {
+		for seed := range uint64(2) {
+			playPartCase(t, tc, seed, (*crasherFleet).checkSends, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
+		}
+	}
+}
+
+// TestNoPartIsBlamedWithoutACrashingOne guards against quarantines of parts whose upstreams die for other reasons.
+func TestNoPartIsBlamedWithoutACrashingOne(t *testing.T) {
+	for _, tc := range []partCase{
+		{"flapping upstreams", crasherNodes, 0, 0, false, flap},
+		{"a lost rack", crasherNodes, 0, 0, false, loseRack},
+		{"flapping upstreams, few nodes", 3, 0, 0, false, flap},
+	} {
+		for seed := range uint64(2) {
+			playPartCase(t, tc, seed, (*crasherFleet).checkParts)
 		}
 	}
 }
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -215,7 +215,10 @@
 	}
 	for _, c := range d.GetCrashes() {
 		id := crashID{c.GetFingerprint(), c.GetUpstream(), c.GetStamp()}
-		if s.crashes[id] == nil || c.GetQuarantined() {
+		if c.GetCleared() {
+			id.stamp = 0 // the latest clearance includes the others
+		}
+		if known := s.crashes[id]; known == nil || c.GetQuarantined() || c.GetStamp() > known.GetStamp() {
 			s.crashes[id] = c
 		}
 	}
