Send gossip also to the relays that silent ones are replaced for

After a cut between data centres some nodes got no marks, claims and counts from the others any more. Each side had ranked the other's silent relays last and sent only to their substitutes, which are no relays of their own data centre, so that the relays stayed silent to each other. A node now also sends to the relays that it would choose if none were silent.

--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -55,13 +55,14 @@
 	crashed   map[string]chan struct{} // by upstream; closed when it crashes
 	crashes   map[string][]time.Time   // by body or part
 	lateSends map[string]int           // by body or part
+	cutUntil  map[string]time.Time     // by data centre
 	sound     []soundRequest           // those that crash nothing
 }
 
 func newCrasherFleet(t *testing.T, nodes int, seed uint64) *crasherFleet {
 	f := &crasherFleet{
 		group: newGroup(t, nodes, "a", "b", "c", "d"), downUntil: make(map[string]time.Time),
-		crashed: make(map[string]chan struct{}), crashes: make(map[string][]time.Time), lateSends: make(map[string]int),
+		crashed: make(map[string]chan struct{}), crashes: make(map[string][]time.Time), lateSends: make(map[string]int), cutUntil: make(map[string]time.Time),
 		bodies: make(map[crash.Fingerprint]string), parts: make(map[crash.Fingerprint]string), random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	f.upstreams = nil
@@ -218,7 +219,7 @@
 	crashed := v.fleet.beginAt(s.Upstream)
 	if cause := crashCause(s.Request); cause != "" {
 		time.Sleep(20 * time.Millisecond)
-		v.fleet.crash(cause, s.Upstream, v.startedAt)
+		v.fleet.crash(cause, s.Upstream, v)
 	}
 	select {
 	case <-crashed:
@@ -272,13 +273,32 @@
 	return f.crashed[u.ID]
 }
 
-// crash crashes an upstream and counts the send; a node that started within settleTime is not held to the bound.
-func (f *crasherFleet) crash(cause string, u *fleet.Upstream, nodeStartedAt time.Time) {
+// isInTouch reports whether a node has been running and in contact with all others for settleTime.
+func (f *crasherFleet) isInTouch(v *nodeView) bool {
+	now := time.Now()
+	return now.Sub(v.startedAt) > settleTime && now.After(f.cutUntil[v.DataCentre()].Add(settleTime))
+}
+
+// cut keeps all datagrams from and to a data centre from arriving, or ends that.
+func (f *crasherFleet) cut(dataCentre string, isCut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isCut {
+		f.cutDataCentre = dataCentre
+		f.cutUntil[dataCentre] = time.Now().Add(time.Hour)
+		return
+	}
+	f.cutDataCentre = ""
+	f.cutUntil[dataCentre] = time.Now()
+}
+
+// crash crashes an upstream and counts the send; a node that is not in touch is not held to the bound.
+func (f *crasherFleet) crash(cause string, u *fleet.Upstream, v *nodeView) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	crashes, bound := f.crashes[cause], boundAfter(cause)
-	if len(crashes) >= bound && now.Sub(crashes[bound-1]) > settleTime && now.Sub(nodeStartedAt) > settleTime {
+	if len(crashes) >= bound && now.Sub(crashes[bound-1]) > settleTime && f.isInTouch(v) {
 		f.lateSends[cause]++
 	}
 	if f.stopLocked(u, upstreamDownTime) {
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -177,7 +177,7 @@
 		stoppedRequests := 0
 		relays := g.nodes[0].relaysOf(g.nodes[0].listedNodes())
 		for i, m := range g.nodes {
-			if relays[m.dataCentre][0] == m.config.Node {
+			if relays[m.dataCentre].active[0] == m.config.Node {
 				m.isStopped = true
 				stoppedRequests += i + 1
 			}
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -118,6 +118,33 @@
 	}
 }
 
+// cutFrom returns a disturbance that cuts off a data centre for some seconds.
+func cutFrom(start time.Duration) func(f *crasherFleet, elapsed time.Duration) {
+	return func(f *crasherFleet, elapsed time.Duration) {
+		switch elapsed {
+		case start:
+			f.cut("b", true)
+		case start + 6*time.Second:
+			f.cut("b", false)
+		}
+	}
+}
+
+// TestCrashingPartIsRefusedAcrossACut guards against nodes that don't learn of a quarantine that began while they were cut
+// off, and against clearances that don't reach them.
+func TestCrashingPartIsRefusedAcrossACut(t *testing.T) {
+	for _, tc := range []partCase{
+		{"before the crashes", crasherNodes, 0.5, 1, false, cutFrom(0)},
+		{"during the crashes", crasherNodes, 2, 1, false, cutFrom(1500 * time.Millisecond)},
+		{"after the crashes", crasherNodes, 2, 1, false, cutFrom(9 * time.Second)},
+		{"few nodes", 6, 2, 1, false, cutFrom(1500 * time.Millisecond)},
+	} {
+		for seed := range uint64(2) {
+			playPartCase(t, tc, seed, (*crasherFleet).checkSends, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
+		}
+	}
+}
+
 // TestCrashingPartIsFoundAmongOtherDisturbances guards against a verdict on a part that other deaths or restarts of nodes
 // prevent, against sound requests that are refused for a part that they share with crashing ones, and against innocent
 // parts and requests in quarantine.
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -47,31 +47,46 @@
 	}
 	relays := m.relaysOf(others)
 	ownRelays := relays[m.config.DataCentre]
-	for _, name := range ownRelays {
+	for _, name := range ownRelays.receivers {
 		if name != m.config.Node {
 			out = append(out, datagram{others[name].Address, own})
 		}
 	}
-	if slices.Contains(ownRelays, m.config.Node) {
+	if slices.Contains(ownRelays.active, m.config.Node) {
 		out = append(out, m.relayDatagrams(own, others, relays)...)
 	}
 	return out
 }
 
+// relaySet holds the relays of one data centre.
+type relaySet struct {
+	active    []string
+	receivers []string // to which datagrams are sent: the active ones, and those that are replaced because they are silent
+}
+
 // relaysOf returns the relays of each data centre: the first nodes in the order of the hashes of their names, with
-// relays that have become silent last.
-func (m *Mesh) relaysOf(others map[string]Node) map[string][]string {
-	relays := map[string][]string{m.config.DataCentre: {m.config.Node}}
+// relays that have become silent last. Two relays that were cut off from each other would stay silent to each other if
+// they were not sent datagrams any more.
+func (m *Mesh) relaysOf(others map[string]Node) map[string]relaySet {
+	nodes := map[string][]string{m.config.DataCentre: {m.config.Node}}
 	for name, n := range others {
-		relays[n.DataCentre] = append(relays[n.DataCentre], name)
+		nodes[n.DataCentre] = append(nodes[n.DataCentre], name)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for dataCentre, names := range relays {
-		slices.SortFunc(names, func(a, b string) int {
-			return cmp.Or(cmp.Compare(m.silentRank(a), m.silentRank(b)), cmp.Compare(NameHash(a), NameHash(b)))
-		})
-		relays[dataCentre] = names[:min(relaysPerDataCentre, len(names))]
+	relays := make(map[string]relaySet, len(nodes))
+	for dataCentre, names := range nodes {
+		slices.SortFunc(names, func(a, b string) int { return cmp.Compare(NameHash(a), NameHash(b)) })
+		count := min(relaysPerDataCentre, len(names))
+		receivers := slices.Clone(names[:count])
+		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(m.silentRank(a), m.silentRank(b)) })
+		active := names[:count]
+		for _, name := range active {
+			if !slices.Contains(receivers, name) {
+				receivers = append(receivers, name)
+			}
+		}
+		relays[dataCentre] = relaySet{active, receivers}
 	}
 	return relays
 }
@@ -86,7 +101,7 @@
 
 // relayDatagrams returns the datagrams of a relay: the sum of its data centre for the relays of the others, and for
 // each member of its data centre the sum of all other nodes. It also applies that sum for this node itself.
-func (m *Mesh) relayDatagrams(own *wire.Digest, others map[string]Node, relays map[string][]string) []datagram {
+func (m *Mesh) relayDatagrams(own *wire.Digest, others map[string]Node, relays map[string]relaySet) []datagram {
 	members, sums := m.liveDigests()
 	total := newDigestSum()
 	for _, d := range members {
@@ -95,8 +110,8 @@
 	total.add(own, 1)
 	var out []datagram
 	dataCentreSum := total.digest(own, wire.Scope_DATA_CENTRE, own.GetRules(), own.GetList())
-	for dataCentre, names := range relays {
-		for _, name := range names {
+	for dataCentre, set := range relays {
+		for _, name := range set.receivers {
 			if dataCentre != m.config.DataCentre {
 				out = append(out, datagram{others[name].Address, dataCentreSum})
 			}
