Judge deaths by all marks, and lift a quarantine that others explain

A sound request whose two attempts lost their upstreams to two different crashing requests was refused on all nodes for ten minutes. A mark is now always sent, each node decides with all that it knows, and a quarantine is lifted when other suspects explain all of its deaths.

--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -52,6 +52,10 @@
 			{second, "w", []crash.Fingerprint{p}, 1}}, []crash.Fingerprint{p}},
 		{"a crashing request, not the part that only it has", nil, []partStep{
 			{second, "u", []crash.Fingerprint{p, "r"}, 3}}, []crash.Fingerprint{"r"}},
+		{"two crashing requests, not the one that ran beside each of them once", nil, []partStep{
+			{second, "u", []crash.Fingerprint{"r", "r1"}, 1}, {second, "v", []crash.Fingerprint{"r", "r2"}, 1},
+			{second, "w", []crash.Fingerprint{"r1"}, 2}, {second, "x", []crash.Fingerprint{"r2"}, 2}},
+			[]crash.Fingerprint{"r1", "r2"}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -23,7 +23,7 @@
 )
 
 // updateQuarantine quarantines a suspect if its deaths suffice, and reports whether it is in quarantine. Deaths before the
-// end of a quarantine no longer count, whenever that end is noticed.
+// end of a quarantine no longer count, whenever that end is noticed. Deaths of other suspects may lift it earlier.
 func (r *Registry) updateQuarantine(f Fingerprint, rec *record, now time.Time) bool {
 	for {
 		if rec.quarantineEnd.IsZero() {
@@ -38,13 +38,24 @@
 					"for-ms", r.quarantine.Milliseconds())
 			}
 		}
-		if rec.quarantineEnd.After(now) {
+		if !rec.quarantineEnd.After(now) {
+			r.endQuarantine(f, rec)
+			continue
+		}
+		if !r.isAllExplained(f, rec) {
 			return true
 		}
-		r.endQuarantine(f, rec)
+		r.log.Info("quarantine-lifted", "fingerprint", string(f), "cause", "other suspects explain all of its deaths")
+		rec.quarantineEnd = time.Time{}
+		return false
 	}
 }
 
+// isAllExplained reports whether other suspects are the more likely cause of all deaths of a suspect.
+func (r *Registry) isAllExplained(f Fingerprint, rec *record) bool {
+	return !slices.ContainsFunc(rec.deaths, func(d *death) bool { return !r.isExplained(f, rec, d) })
+}
+
 // endQuarantine ends a quarantine and drops the deaths before its end.
 func (r *Registry) endQuarantine(f Fingerprint, rec *record) {
 	end := rec.quarantineEnd
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -110,8 +110,8 @@
 		m, ok := r.executor.crashes.RecordDeath(f, res.Upstream.ID, res.Upstream.DataCentre, symptom)
 		if ok {
 			marked++
-			r.executor.broadcast(m)
 		}
+		r.executor.broadcast(m) // the other nodes judge the death by all that they know of
 	}
 	r.executor.log.Info("upstream-died", "request", r.request.ID, "fingerprint", string(r.fingerprint),
 		"parts", r.request.describeParts(), "upstream", res.Upstream.ID, "symptom", symptom.String(), "marked", marked)
