--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -328,7 +328,7 @@
 		defer cancel()
 	}
 	began := time.Now()
-	a, err := r.executor.transport.Send(ctx, s)
+	a, err := r.exchange(ctx, s)
 	if err != nil {
 		return r.transportFailure(ctx, res.Upstream, err)
 	}
@@ -355,6 +355,22 @@
 	return r.deliver(a, body)
 }
 
+// exchange sends an attempt, and records the limit on requests that the answer names.
+func (r *run) exchange(ctx context.Context, s *Send) (*Answer, error) {
+	a, err := r.executor.transport.Send(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	switch limit := a.RequestLimit; {
+	case limit.Unreadable:
+		r.executor.log.Info("limit-unreadable", "request", r.request.ID, "upstream", s.Upstream.ID)
+	case limit.Stated:
+		r.executor.meter.Count("answers-with-limit")
+		r.executor.log.Info("limit-named", "request", r.request.ID, "upstream", s.Upstream.ID, "per-second", limit.PerSecond)
+	}
+	return a, nil
+}
+
 func brokenAnswer(err error) reply.Outcome {
 	return reply.NewUnknown(reply.Broken, "the answer broke off: "+err.Error())
 }
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -21,7 +21,7 @@
 	s *Send) reply.Outcome {
 	w := newStallWatcher(ctx, cancel, r, res)
 	defer w.stop()
-	a, err := r.executor.transport.Send(ctx, s)
+	a, err := r.exchange(ctx, s)
 	if err != nil {
 		return r.transportFailure(ctx, res.Upstream, err)
 	}
--- a/core/proxy/types.go
+++ b/core/proxy/types.go
@@ -67,6 +67,14 @@
 	Sealed        bool   // the answer has the seal header of the upstream
 	FailedAddress string // address of the stage at fault, or ""
 	Load          *Load  // nil if not reported
+	RequestLimit  RequestLimit
+}
+
+// RequestLimit is what an answer says about the requests that its upstream takes from all nodes together.
+type RequestLimit struct {
+	Stated     bool    // the answer names a limit
+	PerSecond  float64 // requests a second, if stated; zero or more
+	Unreadable bool    // the answer names something that is no number of requests
 }
 
 // Answer is an upstream's answer with its unread body.
