Reproduce upstreams that get more requests than the limit that they name

Nodes with real gossip before upstreams of which some name a limit, held to the users' bound (one and a half times the limit and 5 in any 4 s), with restarts, a cut, a burst, limits of 0 and below one a second. Up to 140 requests in 4 s where 29 are allowed.

--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -57,6 +57,7 @@
 	lateSends map[string]int           // by body or part
 	cutUntil  map[string]time.Time     // by data centre
 	sound     []soundRequest           // those that crash nothing
+	limits    *namedLimits             // of the upstreams, or nil
 }
 
 func newCrasherFleet(t *testing.T, nodes int, seed uint64) *crasherFleet {
@@ -216,6 +217,7 @@
 	if err := v.fleet.dial(s.Upstream); err != nil {
 		return nil, proxy.NewSendError(false, err)
 	}
+	limit := v.fleet.limits.arrive(v.node, s.Upstream.ID)
 	crashed := v.fleet.beginAt(s.Upstream)
 	if cause := crashCause(s.Request); cause != "" {
 		time.Sleep(20 * time.Millisecond)
@@ -225,7 +227,8 @@
 	case <-crashed:
 		return nil, proxy.NewSendError(true, errors.New("connection reset"))
 	case <-time.After(200 * time.Millisecond):
-		return &proxy.Answer{AnswerInfo: proxy.AnswerInfo{Sealed: true}, Status: http.StatusOK, Header: http.Header{},
+		v.fleet.limits.tell(v.node, s.Upstream.ID, limit)
+		return &proxy.Answer{AnswerInfo: proxy.AnswerInfo{Sealed: true, RequestLimit: limit}, Status: http.StatusOK, Header: http.Header{},
 			Body: io.NopCloser(strings.NewReader("done"))}, nil
 	case <-ctx.Done():
 		return nil, proxy.NewSendError(true, ctx.Err())
