Share the limits that upstreams name among all nodes

Cause: nothing read the header, and no part of the choice of upstreams knows a rate.

A limit is now state of the board: an answer that names it, or one to a later request that names none, changes it, and gossip carries the newest statement to all nodes. core/pacer decides how many requests a node may send: an equal part of the limit, as a token bucket that begins empty; where an upstream takes fewer requests a second than there are nodes, only so many nodes send to it, chosen by rendezvous hashing, since 84 buckets of one request would let 84 through at once. An upstream at its limit counts as full for first stages and plain requests, so that others take them; requests that wait are woken when the next one is allowed. A limit of zero leaves one request in five seconds, without which nothing could lift it.

Weighed: shares by demand, which the retry budget's counts would give.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/pacer"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 )
 
 // Key identifies one incarnation of an upstream, or a link between two data centres.
@@ -54,6 +56,7 @@
 	latencyMs          float64 // moving average of the response time of plain requests, ms
 	reportedRequests   int     // requests that it reported to have, at reportedRequestsAt
 	reportedRequestsAt time.Time
+	limit              pacer.Limit // on the requests of all nodes that are sent to it
 }
 
 // Board tracks the load and health of upstreams. It is safe for concurrent use.
@@ -66,7 +69,10 @@
 	capacityFreed chan struct{} // closed and replaced when capacity may have become free
 	dataCentre    string        // the node's own data centre
 	partitions    map[string]*partition
-	nodes         int                 // nodes that share the links between data centres, with this one
+	nodes         int           // nodes that share the links between data centres, with this one
+	sharers       pacer.Sharers // of upstreams' limits
+	limitWake     *time.Timer   // wakes the requests that wait for an upstream's limit, or nil
+	log           logr.Logger
 	linkBudgets   map[Key]*linkBudget // this node's budget on each link
 }
 
@@ -84,6 +90,9 @@
 // WithDataCentre sets the node's own data centre, which never counts as unreachable.
 func WithDataCentre(name string) Option { return func(b *Board) { b.dataCentre = name } }
 
+// WithLogger sets the logger of changed limits; by default they are not logged.
+func WithLogger(log logr.Logger) Option { return func(b *Board) { b.log = log } }
+
 // New returns an empty board.
 func New(opts ...Option) *Board {
 	b := &Board{
@@ -94,6 +103,7 @@
 		capacityFreed: make(chan struct{}),
 		partitions:    make(map[string]*partition),
 		nodes:         1, linkBudgets: make(map[Key]*linkBudget),
+		log: logr.Discard(),
 	}
 	for _, o := range opts {
 		o(b)
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -65,7 +65,9 @@
 	}
 	r.prefillHops = slices.Clone(hops)
 	r.startCrossing(n.Engine, hops, hops)
-	b.state(KeyOf(r.Upstream)).firstStage++
+	first := b.state(KeyOf(r.Upstream))
+	first.firstStage++
+	first.limit.Spend()
 	return r
 }
 
@@ -277,7 +279,7 @@
 	decoding        float64 // requests in flight on it, all taken to be decoding
 	prefill         float64 // prompt tokens x layers that it has not prefilled yet
 	needsConnection bool    // no idle connection to it is open
-	slotsFull       bool    // it accepts no more requests as first stage
+	slotsFull       bool    // it accepts no more requests as first stage now
 	jitter          float64 // random factor on its costs
 }
 
@@ -302,7 +304,7 @@
 			free:            capacity - s.reserved - s.peerClaims.Reserved,
 			decoding:        float64(s.inFlight + s.peerClaims.InFlight),
 			prefill:         s.prefill + s.peerClaims.Prefill,
-			slotsFull:       s.firstStage+s.peerClaims.FirstStage >= u.Slots,
+			slotsFull:       s.firstStage+s.peerClaims.FirstStage >= u.Slots || u.Layers.From == 0 && !b.withinLimit(s, now),
 			needsConnection: n.HasConnection != nil && u.Layers.From == 0 && !n.HasConnection(u),
 			jitter:          1 + costJitter*b.random.Float64(),
 		})
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -58,6 +58,9 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
+		if !b.withinLimit(s, now) {
+			continue
+		}
 		if b.isExcluded(u, s, now) {
 			ejected = u
 			continue
@@ -84,6 +87,7 @@
 	}
 	s := b.state(KeyOf(best))
 	s.firstStage++
+	s.limit.Spend()
 	s.startProbe(now)
 	return &Reservation{board: b, Upstream: best}
 }
@@ -116,6 +120,16 @@
 	}
 }
 
+// Cancel returns the reserved capacity of a request that was not sent, as Release does, and its part of the limit.
+func (r *Reservation) Cancel() {
+	r.board.mu.Lock()
+	if !r.released {
+		r.board.state(KeyOf(r.Upstream)).limit.Refund()
+	}
+	r.board.mu.Unlock()
+	r.Release()
+}
+
 // Release returns the reserved capacity. Further calls do nothing.
 func (r *Reservation) Release() {
 	b := r.board
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -134,7 +134,7 @@
 			return r.end(ctx, err)
 		}
 		if err := r.checkQuarantine(); err != nil { // it may have begun during the wait
-			res.Release()
+			res.Cancel()
 			return r.end(ctx, err)
 		}
 		outcome := r.attempt(ctx, res)
@@ -357,6 +357,7 @@
 
 // exchange sends an attempt, and records the limit on requests that the answer names.
 func (r *run) exchange(ctx context.Context, s *Send) (*Answer, error) {
+	sentAt := time.Now()
 	a, err := r.executor.transport.Send(ctx, s)
 	if err != nil {
 		return nil, err
@@ -366,7 +367,9 @@
 		r.executor.log.Info("limit-unreadable", "request", r.request.ID, "upstream", s.Upstream.ID)
 	case limit.Stated:
 		r.executor.meter.Count("answers-with-limit")
-		r.executor.log.Info("limit-named", "request", r.request.ID, "upstream", s.Upstream.ID, "per-second", limit.PerSecond)
+		r.executor.board.RecordLimit(s.Upstream, limit.PerSecond)
+	default:
+		r.executor.board.RecordNoLimit(s.Upstream, sentAt)
 	}
 	return a, nil
 }
--- a/core/proxy/stall.go
+++ b/core/proxy/stall.go
@@ -254,7 +254,7 @@
 	if other == nil {
 		return false
 	}
-	other.Release()
+	other.Cancel()
 	return true
 }
 
--- a/io/entry/health.go
+++ b/io/entry/health.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"sync"
 	"time"
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/pacer"
 	"rhubarbspread/io/mesh"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Times of fetching reports.
@@ -79,17 +77,9 @@
 func isAssigned(node uint32, live []uint32, u *fleet.Upstream) bool {
 	hash := board.KeyOf(u).Hash()
 	for _, other := range live {
-		if rendezvousWeight(other, hash) > rendezvousWeight(node, hash) {
+		if pacer.RendezvousWeight(other, hash) > pacer.RendezvousWeight(node, hash) {
 			return false
 		}
 	}
 	return true
 }
-
-// rendezvousWeight returns a hash of a node and an upstream, which are given by their own hashes.
-func rendezvousWeight(node, upstream uint32) uint64 {
-	var b [8]byte
-	binary.LittleEndian.PutUint32(b[:4], node)
-	binary.LittleEndian.PutUint32(b[4:], upstream)
-	return xxhash.Sum64(b[:])
-}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -77,7 +77,7 @@
 func New(c Config, p Platform, log logr.Logger) *Node {
 	n := &Node{
 		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
-		board:        board.New(board.WithDataCentre(c.DataCentre)),
+		board:        board.New(board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node))),
 		stats:        stats.New(),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeFailing: make(map[store.Topic]bool), storeReadAt: make(map[store.Topic]time.Time),
@@ -102,6 +102,7 @@
 	n.planner = place.NewPlanner(n.engines, n.lease.Valid, n.log)
 	n.stats.Gauge("requests-active", func() any { return n.activeRequests.Load() })
 	n.stats.Gauge("quarantines", func() any { return len(n.crashes.List()) })
+	n.stats.Gauge("limited-upstreams", func() any { return n.board.LimitedUpstreams() })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
 	return n
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -9,6 +9,7 @@
 
 	"rhubarbspread/core/crash"
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/pacer"
 	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh"
@@ -257,4 +258,11 @@
 		c.node.budget.SetNodes(len(c.nodes) + 1)
 	}
 	c.node.board.SetNodes(len(c.nodes) + 1)
+	if len(c.rawNodes) > 0 {
+		var others []uint32
+		for name := range c.nodes {
+			others = append(others, mesh.NameHash(name))
+		}
+		c.node.board.SetSharers(pacer.NewSharers(mesh.NameHash(c.node.config.Node), others))
+	}
 }
--- a/io/mesh/limit_test.go
+++ b/io/mesh/limit_test.go
@@ -141,7 +141,7 @@
 		{"none at all", 9, 6, 0, nil},
 		{"more than they get", 24, 8, 50, nil},
 		{"restarted nodes", crasherNodes, 8, 3, func(f *crasherFleet, elapsed time.Duration) {
-			if elapsed%(5*time.Second) == 0 {
+			if elapsed%(3*time.Second) == 0 {
 				for i := range len(f.nodes) / 2 {
 					f.restart(i)
 				}
@@ -156,7 +156,7 @@
 			}
 		}},
 		{"a lower limit", 9, 8, 8, func(f *crasherFleet, elapsed time.Duration) {
-			if elapsed == 10*time.Second {
+			if elapsed == 9*time.Second {
 				for _, u := range f.upstreams[:8] {
 					f.limits.name(u.ID, 2)
 				}
@@ -184,7 +184,7 @@
 func TestLiftedLimitIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc := limitCase{"", 9, 12, 1, func(f *crasherFleet, elapsed time.Duration) {
-			if elapsed == 10*time.Second {
+			if elapsed == 9*time.Second {
 				for _, u := range f.upstreams {
 					f.limits.name(u.ID, -1)
 				}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -11,6 +11,7 @@
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/crash"
+	"rhubarbspread/core/pacer"
 	"rhubarbspread/core/retry"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh/wire"
@@ -232,9 +233,15 @@
 	for _, h := range d.GetHealth() {
 		slowdowns[h.GetUpstream()] = float64(h.GetPace()) / thousand
 	}
+	limits := make(map[uint32]pacer.Statement, len(d.GetLimits()))
+	for _, l := range d.GetLimits() {
+		limits[l.GetUpstream()] = pacer.Statement{
+			PerSecond: l.GetPerSecond(), IsLifted: l.GetLifted(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		}
+	}
 	g := board.Gossip{
 		Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Failed: d.GetResting(), Refusing: d.GetRefusing(),
-		Slowdowns: slowdowns,
+		Slowdowns: slowdowns, Limits: limits,
 	}
 	if d.GetScope() == wire.Scope_OTHERS {
 		g.Node, g.DataCentre = allOthers, "" // the latest sum replaces those of other relays
@@ -311,6 +318,11 @@
 	for hash, c := range m.retries.Counts() {
 		d.Spent = append(d.Spent, &wire.Spent{Service: hash, Firsts: uint32(c.FirstAttempts), Repeats: uint32(c.Retries)})
 	}
+	for hash, s := range m.board.Limits() {
+		d.Limits = append(d.Limits, &wire.Limit{
+			Upstream: hash, PerSecond: s.PerSecond, Lifted: s.IsLifted, AgeMs: uint32(s.Age.Milliseconds()),
+		})
+	}
 	for hash, slowdown := range m.board.Slowdowns() {
 		d.Health = append(d.Health, &wire.Health{Upstream: hash, Pace: uint32(slowdown * thousand)})
 	}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -165,7 +165,8 @@
 	health   map[uint32]*wire.Health
 	members  map[uint32]int // by the hash of the name
 	crashes  map[crashID]*wire.Crash
-	planners int // nodes that hold the lease
+	limits   map[uint32]*wire.Limit // the newest of each upstream
+	planners int                    // nodes that hold the lease
 	retries  map[uint32]*wire.Spent
 	nodes    int // that the sum covers
 	settled  int // of these, the nodes whose retry counts cover a whole window
@@ -181,11 +182,11 @@
 	return &digestSum{
 		claims: make(map[uint32]*wire.Claim), failed: make(map[uint32]int), health: make(map[uint32]*wire.Health),
 		members: make(map[uint32]int), refusing: make(map[uint32]int), retries: make(map[uint32]*wire.Spent),
-		crashes: make(map[crashID]*wire.Crash),
+		crashes: make(map[crashID]*wire.Crash), limits: make(map[uint32]*wire.Limit),
 	}
 }
 
-// add adds a digest if sign is 1, and subtracts it if sign is -1. Health and crash marks are never subtracted.
+// add adds a digest if sign is 1, and subtracts it if sign is -1. Health, limits and crash marks are never subtracted.
 func (s *digestSum) add(d *wire.Digest, sign int) {
 	for _, c := range d.GetClaims() {
 		sum := s.claims[c.GetUpstream()]
@@ -228,6 +229,11 @@
 	for _, h := range d.GetHealth() {
 		s.health[h.GetUpstream()] = h
 	}
+	for _, l := range d.GetLimits() {
+		if known := s.limits[l.GetUpstream()]; known == nil || l.GetAgeMs() < known.GetAgeMs() {
+			s.limits[l.GetUpstream()] = l
+		}
+	}
 	for _, c := range d.GetCrashes() {
 		id := crashID{c.GetFingerprint(), c.GetUpstream(), c.GetStamp()}
 		if c.GetCleared() {
@@ -263,6 +269,7 @@
 	for _, h := range s.health {
 		d.Health = append(d.Health, h)
 	}
+	d.Limits = slices.Collect(maps.Values(s.limits))
 	for hash, n := range s.members {
 		if n > 0 {
 			d.Members = append(d.Members, hash)
