Suspect the messages of chats on the project's own interface as well

The same cause elsewhere: the relay and the chains of split models knew requests that crash engines by model and whole prompt only.

--- a/core/chain/attempt.go
+++ b/core/chain/attempt.go
@@ -16,7 +16,7 @@
 	engine          *Engine
 	stages          *Stages
 	attempt         *relay.Attempt
-	fingerprint     crash.Fingerprint
+	suspects        []crash.Fingerprint
 	tokens          []string // accepted so far, including those of earlier attempts
 	epoch           int
 	plan            Plan
@@ -263,8 +263,10 @@
 		return
 	}
 	symptom := crash.SymptomOf(isSilent(o), len(c.tokens) > len(c.attempt.Accepted()))
-	if m, ok := c.engine.crashes.RecordDeath(c.fingerprint, u.Name(), u.DataCentre(), symptom); ok {
-		c.engine.sendMark(m)
+	for _, f := range c.suspects {
+		if m, ok := c.engine.crashes.RecordDeath(f, u.Name(), u.DataCentre(), symptom); ok {
+			c.engine.sendMark(m)
+		}
 	}
 }
 
@@ -272,8 +274,10 @@
 // upstreams cover the lost layers.
 func (c *chainAttempt) replaceStage(stage Stage) reply.Outcome {
 	if c.engine.crashes != nil {
-		if _, quarantined := c.engine.crashes.Verdict(c.fingerprint).(crash.Quarantined); quarantined {
-			return reply.NewUnknown(reply.Failed, "upstreams died of this request more than once")
+		for _, f := range c.suspects {
+			if _, quarantined := c.engine.crashes.Verdict(f).(crash.Quarantined); quarantined {
+				return reply.NewUnknown(reply.Failed, "upstreams died of this request, or of a part of its prompt, more than once")
+			}
 		}
 	}
 	c.excluded[stage.Upstream.Name()] = true
--- a/core/chain/engine.go
+++ b/core/chain/engine.go
@@ -118,7 +118,7 @@
 		stages:          stages,
 		attempt:         a,
 		tokens:          append([]string(nil), a.Accepted()...),
-		fingerprint:     crash.NewFingerprint(a.Model(), []byte(a.Prompt())),
+		suspects:        a.Suspects(),
 		activations:     newActivationStore(e.activationBudget),
 		excluded:        make(map[string]bool),
 		heldPositions:   make(map[Stage]int),
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,6 +40,24 @@
 // isPart reports whether the fingerprint is that of a part, which many requests may share.
 func (f Fingerprint) isPart() bool { return strings.HasPrefix(string(f), partPrefix) }
 
+// maxSuspectParts bounds how many parts of a prompt can be suspected.
+const maxSuspectParts = 32
+
+// NewPartFingerprints returns the fingerprints of the parts of a prompt for a target, each once. The last part belongs to
+// one request or session and is left out, as are empty ones.
+func NewPartFingerprints(target string, parts []string) []Fingerprint {
+	var list []Fingerprint
+	for i, part := range parts {
+		if part == "" || i == len(parts)-1 || len(list) == maxSuspectParts {
+			continue
+		}
+		if f := NewPartFingerprint(target, part); !slices.Contains(list, f) {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // Verdict says whether and where a request may run: Clear, Suspect or Quarantined.
 type Verdict interface{ verdict() }
 
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -34,22 +33,9 @@
 	return crash.NewFingerprint(q.Method+" "+q.Host+q.URI+" "+caller, q.Body)
 }
 
-// maxSuspectParts bounds how many parts of a prompt can be suspected.
-const maxSuspectParts = 32
-
-// suspects returns the fingerprints that a request may be suspected by: of its parts, then its own. The last part of a
-// prompt belongs to one request or session, and is left out.
+// suspects returns the fingerprints that a request may be suspected by: of its parts, then its own.
 func (q *Request) suspects() []crash.Fingerprint {
-	var list []crash.Fingerprint
-	for i, part := range q.PromptParts {
-		if part == "" || i == len(q.PromptParts)-1 || len(list) == maxSuspectParts {
-			continue
-		}
-		if f := crash.NewPartFingerprint(q.Service.Name, part); !slices.Contains(list, f) {
-			list = append(list, f)
-		}
-	}
-	return append(list, q.Fingerprint())
+	return append(crash.NewPartFingerprints(q.Service.Name, q.PromptParts), q.Fingerprint())
 }
 
 // maxLoggedParts bounds how many parts of a prompt a log line names.
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"rhubarbspread/core/crash"
 	"rhubarbspread/core/reply"
 	"rhubarbspread/core/route"
 )
@@ -17,8 +18,13 @@
 	maxTokens int
 	priority  int
 	upstream  *route.Upstream
+	suspects  []crash.Fingerprint
 }
 
+// Suspects returns the fingerprints that the request may be suspected by when an upstream dies: of the parts of its
+// prompt that others may share, then its own.
+func (a *Attempt) Suspects() []crash.Fingerprint { return a.suspects }
+
 // ID returns the attempt's ID, which every message of the attempt carries.
 func (a *Attempt) ID() string { return a.id }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -103,6 +103,9 @@
 func (r *Relay) Run(ctx context.Context, pool *limit.Pool, q *Request, sink Sink) (*Answer, error) {
 	rs := &requestState{relay: r, pool: pool, request: q, sink: sink, lastTokenAt: time.Now()}
 	r.budget.RecordFirstAttempt(q.team, q.model)
+	for _, part := range q.parts {
+		r.crashes.RecordUse(part)
+	}
 	for {
 		done, err := rs.attempt(ctx)
 		if err != nil {
@@ -139,8 +142,10 @@
 	grant.Done(result, len(rs.answer.texts)-before)
 	rs.summary.Add(outcome)
 	if _, ok := outcome.(reply.Done); ok {
-		if m, ok := rs.relay.crashes.Completed(rs.request.fingerprint); ok {
-			rs.relay.sendMark(m)
+		for _, f := range rs.request.suspects() {
+			if m, ok := rs.relay.crashes.Completed(f); ok {
+				rs.relay.sendMark(m)
+			}
 		}
 		return true, nil
 	}
@@ -167,6 +172,9 @@
 		AvoidDataCentre: rs.avoidDataCentre,
 		Resume:          rs.summary.Attempts() > 0,
 	}
+	if err := rs.quarantineRefusal(); err != nil {
+		return d, err
+	}
 	switch v := rs.relay.crashes.Verdict(q.fingerprint).(type) {
 	case crash.Clear:
 		d.DuplicateUpstream = v.DuplicateAt()
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,7 @@
 	prompt      string
 	maxTokens   int
 	fingerprint crash.Fingerprint
+	parts       []crash.Fingerprint // of the prompt, that other requests may share
 	prefix      uint64
 }
 
@@ -38,6 +40,21 @@
 	return r
 }
 
+// WithParts sets the parts of the prompt in order, such as the messages of a chat, and returns the request. Requests that
+// share a part other than the last are suspected together when upstreams die.
+func (r *Request) WithParts(parts []string) *Request {
+	r.parts = crash.NewPartFingerprints(r.model, parts)
+	return r
+}
+
+// Parts returns the fingerprints of the parts of the prompt that other requests may share.
+func (r *Request) Parts() []crash.Fingerprint { return r.parts }
+
+// suspects returns the fingerprints that the request may be suspected by: of its parts, then its own.
+func (r *Request) suspects() []crash.Fingerprint {
+	return append(slices.Clone(r.parts), r.fingerprint)
+}
+
 // ID returns the request's ID.
 func (r *Request) ID() string { return r.id }
 
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -71,6 +71,7 @@
 		maxTokens: rs.request.maxTokens,
 		priority:  priority,
 		upstream:  g.Upstream(),
+		suspects:  rs.request.suspects(),
 	}
 	go func() {
 		s.outcome <- rs.relay.engine.Generate(attemptCtx, s.attempt, func(t Token) error {
@@ -198,9 +199,11 @@
 		return
 	}
 	symptom := crash.SymptomOf(silent, len(rs.answer.texts) > 0)
-	if m, ok := rs.relay.crashes.RecordDeath(rs.request.fingerprint, u.Name(), u.DataCentre(), symptom); ok {
-		rs.relay.note(rs, "suspect", s.attempt.id, u.Name(), string(m.Fingerprint))
-		rs.relay.sendMark(m)
+	for _, f := range rs.request.suspects() {
+		if m, ok := rs.relay.crashes.RecordDeath(f, u.Name(), u.DataCentre(), symptom); ok {
+			rs.relay.note(rs, "suspect", s.attempt.id, u.Name(), string(m.Fingerprint))
+			rs.relay.sendMark(m)
+		}
 	}
 }
 
--- a/core/relay/suspect.go
+++ b/core/relay/suspect.go
@@ -36,14 +36,17 @@
 	return max(0, turn-s.Age())
 }
 
-// quarantineRefusal returns a refusal if the request is in quarantine for crashing upstreams, or nil.
+// quarantineRefusal returns a refusal if the request, or a part of its prompt, is in quarantine for crashing upstreams, or
+// nil.
 func (rs *requestState) quarantineRefusal() error {
-	v, ok := rs.relay.crashes.Verdict(rs.request.fingerprint).(crash.Quarantined)
-	if !ok {
-		return nil
+	for _, f := range rs.request.suspects() {
+		if v, ok := rs.relay.crashes.Verdict(f).(crash.Quarantined); ok {
+			return reply.NewRefusal(http.StatusUnprocessableEntity, "quarantined",
+				"upstreams died of this request, or of a part of its prompt, more than once",
+				reply.WithRunState(rs.summary.RunState()), reply.WithRetryAfter(v.Remaining()))
+		}
 	}
-	return reply.NewRefusal(http.StatusUnprocessableEntity, "quarantined", "upstreams died of this request more than once",
-		reply.WithRunState(rs.summary.RunState()), reply.WithRetryAfter(v.Remaining()))
+	return nil
 }
 
 // otherKeys returns the keys of all fingerprints but the request's own.
--- a/io/serve/callers.go
+++ b/io/serve/callers.go
@@ -250,7 +250,8 @@
 	defer cancel()
 	c.ring.Append(event.Event{Kind: "arrived", Request: j.id, Team: j.team.Name(), Note: j.request.model})
 	sink := newSink(c, w, j)
-	q := relay.NewRequest(j.id, j.team.Name(), j.team.Weight(), j.request.model, j.request.prompt, j.request.maxTokens)
+	q := relay.NewRequest(j.id, j.team.Name(), j.team.Weight(), j.request.model, j.request.prompt, j.request.maxTokens).
+		WithParts(j.request.messages)
 	start := time.Now()
 	answer, err := c.relay.Run(ctx, j.view.Pool(j.request.model), q, sink)
 	c.timeToWholeAnswer.Add(time.Since(start))
--- a/io/serve/parse.go
+++ b/io/serve/parse.go
@@ -19,6 +19,7 @@
 type completionRequest struct {
 	model     string
 	prompt    string
+	messages  []string // contents of a chat's messages, or none
 	maxTokens int
 	stream    bool
 }
@@ -59,11 +60,10 @@
 	if len(body.Messages) == 0 {
 		return nil, badRequest("no-messages", "the member messages is missing or empty")
 	}
-	contents := make([]string, len(body.Messages))
-	for i, m := range body.Messages {
-		contents[i] = m.Content
+	for _, m := range body.Messages {
+		c.messages = append(c.messages, m.Content)
 	}
-	c.prompt = strings.Join(contents, "\n")
+	c.prompt = strings.Join(c.messages, "\n")
 	return c, checkPrompt(c.prompt)
 }
 
--- a/io/trial/fleet_test.go
+++ b/io/trial/fleet_test.go
@@ -207,8 +207,9 @@
 type request struct {
 	team   string
 	prompt string
-	tokens int // length of the answer
-	node   int // index of the node that gets the request
+	tokens int      // length of the answer
+	node   int      // index of the node that gets the request
+	parts  []string // of the prompt, or none
 }
 
 // recorder is a caller that records the tokens of one answer and the times between them.
@@ -237,7 +238,7 @@
 	n := f.nodes[q.node]
 	rec := &recorder{at: time.Now()}
 	start := time.Now()
-	_, err := n.relay.Run(ctx, n.pool, relay.NewRequest(id, q.team, 1, modelName, q.prompt, q.tokens), rec)
+	_, err := n.relay.Run(ctx, n.pool, relay.NewRequest(id, q.team, 1, modelName, q.prompt, q.tokens).WithParts(q.parts), rec)
 	res.mu.Lock()
 	defer res.mu.Unlock()
 	res.offered++
