--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -24,6 +24,7 @@
 	maxIdleConns    = 256
 	idleConnTimeout = 30 * time.Second
 	maxAnswerBytes  = 16 << 20
+	maxHeadBytes    = 64 << 10 // of an answer's status line and headers
 )
 
 // Error is the failure of a request: it got no readable answer with a 2xx status.
@@ -77,6 +78,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/io/hop/conn.go
+++ b/io/hop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -23,7 +24,8 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	reader      *bufio.Reader // reads through Read
+	headLeft    int           // bytes that may be read of the head of an answer, or noHead
 	target      Target
 	idleSince   time.Time
 	idleTimeout time.Duration // idle time after which it isn't reused
@@ -49,12 +51,32 @@
 	}
 }
 
+// noHead is the value of headLeft while no head is read.
+const noHead = -1
+
+var errHeadSize = errors.New("the head of the answer is too large")
+
+// Read reads from the connection, within the bound on a head while one is read.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == noHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft == 0 {
+		return 0, errHeadSize
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 func dial(ctx context.Context, t Target) (*conn, error) {
 	c, err := Dialer().DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), target: t}, nil
+	cn := &conn{Conn: c, target: t, headLeft: noHead}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
 }
 
 // isClean reports whether an idle connection is open and has no unread bytes, which would belong to no request.
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -23,7 +23,7 @@
 	maxSkippedAnswers  = 2                      // late answers to earlier requests, which are discarded
 	maxSkippedBytes    = 64 << 10               // of the body of such an answer
 	maxInlineBytes     = 16 << 10               // size up to which a request is written before its answer is read
-	maxHeaderBytes     = 64 << 10               // of an answer; not enforced
+	maxHeadBytes       = 64 << 10               // of an answer's status line and headers
 	writeTimeout       = 5 * time.Second        // of a request that is written before its answer is read
 )
 
@@ -225,7 +225,9 @@
 		}()
 	}
 	for range maxSkippedAnswers + 1 {
+		x.conn.headLeft = maxHeadBytes
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: c.Method})
+		x.conn.headLeft = noHead
 		if err != nil {
 			return nil, err
 		}
