Bound what a node holds of answers that do not end

All answers together now hold at most 16 MiB; a plain answer beyond that is passed on unbuffered, a stream's attempt ends.

--- a/core/proxy/events.go
+++ b/core/proxy/events.go
@@ -17,17 +17,25 @@
 // noID is the ID of an event without a numeric ID.
 const noID = -1
 
-// maxEventBytes bounds the size of one event, so that an upstream can't exhaust the node's memory.
-const maxEventBytes = 1 << 20
-
-var errEventSize = errors.New("an event is larger than 1 MiB")
+var (
+	errEventSize = errors.New("an event is larger than 256 KiB")
+	errBuffers   = errors.New("the node holds too much of other answers")
+)
 
 // readEvent returns the next complete event. It returns io.EOF if the stream ends between events, and
-// io.ErrUnexpectedEOF if it ends within one.
-func readEvent(r *bufio.Reader) (event, error) {
+// io.ErrUnexpectedEOF if it ends within one. An event beyond bufferStepBytes is charged to the budget while it is read.
+func readEvent(r *bufio.Reader, buffers *bufferBudget) (event, error) {
 	e := event{id: noID}
+	charged := 0
+	defer func() { buffers.give(charged) }()
 	for {
 		line, err := r.ReadSlice('\n')
+		for len(e.raw)+len(line) > charged+bufferStepBytes {
+			if !buffers.take(bufferStepBytes) {
+				return event{}, errBuffers
+			}
+			charged += bufferStepBytes
+		}
 		e.raw = append(e.raw, line...)
 		if len(e.raw) > maxEventBytes {
 			return event{}, errEventSize
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -38,6 +38,7 @@
 	broadcast func(crash.Mark)
 	log       logr.Logger
 	reports   reportCache
+	buffers   bufferBudget
 }
 
 // Dependencies holds the dependencies of an executor.
@@ -80,11 +81,10 @@
 
 // Limits on attempts.
 const (
-	maxCapacityWait  = 450 * time.Millisecond // longest wait for free capacity; later answers miss most objectives
-	maxBufferedBytes = 1 << 20                // bytes of a plain answer that are buffered before it is delivered
-	maxUnreached     = 3                      // attempts that reached no upstream, after which a request is refused
-	minAttemptTime   = 5 * time.Millisecond   // no attempt begins with less time left
-	lowestPriority   = 9                      // that upstreams accept
+	maxCapacityWait = 450 * time.Millisecond // longest wait for free capacity; later answers miss most objectives
+	maxUnreached    = 3                      // attempts that reached no upstream, after which a request is refused
+	minAttemptTime  = 5 * time.Millisecond   // no attempt begins with less time left
+	lowestPriority  = 9                      // that upstreams accept
 )
 
 // run is the state of one request.
@@ -336,7 +336,8 @@
 	if outcome := r.rejection(res, a); outcome != nil {
 		return outcome
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	body, isAll, release, err := r.executor.buffers.readBuffered(a.Body)
+	defer release()
 	if err != nil {
 		r.executor.board.RecordFailure(res.Upstream)
 		r.excludeUpstream(res.Upstream.ID)
@@ -352,7 +353,7 @@
 		r.retryPaid.Store(true)
 		return failedAnswer(a)
 	}
-	return r.deliver(a, body)
+	return r.deliver(a, body, isAll)
 }
 
 // exchange sends an attempt, and records the limit on requests that the answer names.
@@ -382,14 +383,14 @@
 	return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
 }
 
-// deliver sends the caller an answer whose beginning was read, and the rest of a large one.
-func (r *run) deliver(a *Answer, body []byte) reply.Outcome {
+// deliver sends the caller an answer of which all or the beginning was read, and the rest of it.
+func (r *run) deliver(a *Answer, body []byte, isAll bool) reply.Outcome {
 	r.sink.Begin(a.Status, a.Header)
 	r.headersSent = true
 	if err := r.sink.Write(body); err != nil {
 		return reply.NewUnknown(reply.Canceled, err.Error())
 	}
-	if len(body) == maxBufferedBytes {
+	if !isAll {
 		return r.deliverRest(a)
 	}
 	r.wroteAnswer = a.isComplete()
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -46,11 +46,12 @@
 		r.retryPaid.Store(true)
 		return failedAnswer(a)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	body, isAll, release, err := r.executor.buffers.readBuffered(a.Body)
+	defer release()
 	if err != nil {
 		return brokenAnswer(err)
 	}
-	return r.deliver(a, body)
+	return r.deliver(a, body, isAll)
 }
 
 // forwardEvents forwards complete events until the stream ends.
@@ -58,7 +59,7 @@
 	in := bufio.NewReaderSize(a.Body, eventBufferBytes)
 	isFirst := true
 	for {
-		e, err := readEvent(in)
+		e, err := readEvent(in, &r.executor.buffers)
 		if errors.Is(err, io.EOF) {
 			return r.complete(res, a)
 		}
--- a/core/proxy/stream_test.go
+++ b/core/proxy/stream_test.go
@@ -272,7 +272,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			e, err := readEvent(bufio.NewReaderSize(strings.NewReader(tc.in), 64))
+			e, err := readEvent(bufio.NewReaderSize(strings.NewReader(tc.in), 64), &bufferBudget{})
 			if !errors.Is(err, tc.err) {
 				t.Fatalf("error %v, want %v", err, tc.err)
 			}
@@ -290,7 +290,7 @@
 		r := bufio.NewReaderSize(strings.NewReader(string(in)), 32)
 		var out []byte
 		for {
-			e, err := readEvent(r)
+			e, err := readEvent(r, &bufferBudget{})
 			if err != nil {
 				break
 			}
