Prolong a quarantine while the requests that it refuses keep coming

A quarantine ended after ten minutes whatever came. Requests with a crashing part keep coming, so that each end lets some through again, beyond the three that the users allow in all. A quarantine is now prolonged by its length if requests were refused for it in its second half. That is decided a tenth of its length before the end and gossiped with the evidence, as a count that all nodes add to the same end, so that nodes without such requests follow.

TestQuarantineLastsWhileRequestsKeepComing failed before (in quarantine for ten of fifty minutes).

--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	known, ok := d.marks[m.Fingerprint]
-	return ok && known.Quarantined
+	return ok && known.Quarantined && m.Prolonged <= known.Prolonged
 }
 
 // mark applies m and reports whether the death speaks against its suspect, that is, is not part of a correlated failure.
@@ -54,7 +54,7 @@
 	now := r.now()
 	at := now.Add(-m.Age)
 	r.remember(m, now)
-	if !at.After(r.ended[m.Fingerprint]) {
+	if ended := r.ended[m.Fingerprint]; !at.After(ended.at) && m.Prolonged <= ended.prolonged {
 		return false
 	}
 	d := r.findDeath(m.Upstream, at)
@@ -73,6 +73,7 @@
 		rec.deaths = append(rec.deaths, d)
 	}
 	d.marks[m.Fingerprint] = deathMark{m, at}
+	r.prolong(m.Fingerprint, rec, m.Prolonged)
 	if c := r.usage.get(m.Fingerprint).soundEnd; c.stamp > r.cleared[m.Fingerprint].stamp && now.Sub(c.at) < trustTime {
 		r.cleared[m.Fingerprint] = c
 	}
@@ -111,7 +112,7 @@
 		}
 	}
 	for f, end := range r.ended {
-		if now.Sub(end) > suspicionTime {
+		if now.Sub(end.at) > suspicionTime {
 			delete(r.ended, f)
 		}
 	}
--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -196,3 +196,38 @@
 		}
 	})
 }
+
+// TestQuarantineLastsWhileRequestsKeepComing guards against a timer that lets requests with a crashing part through now and
+// then, also at a node that got none of them, and against a quarantine without end.
+func TestQuarantineLastsWhileRequestsKeepComing(t *testing.T) {
+	const quarantine, periods = 10 * time.Minute, 5
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		asked := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, quarantine)
+		idle := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, quarantine)
+		p := part("p")
+		for i := range 4 {
+			m, _ := asked.RecordDeath(p, fmt.Sprint("u", i), "dc", crash.BrokeBeforeFirstToken)
+			idle.ApplyMark(m)
+			time.Sleep(time.Second)
+		}
+		for i := range int(periods * quarantine / time.Minute) {
+			time.Sleep(time.Minute)
+			if _, ok := asked.Verdict(p).(crash.Quarantined); !ok {
+				t.Fatalf("the part is not in quarantine after %d minutes", i)
+			}
+			for _, m := range asked.Evidence() {
+				idle.ApplyMark(m)
+			}
+			if len(idle.List()) == 0 {
+				t.Fatalf("the part is not in quarantine at the idle node after %d minutes", i)
+			}
+		}
+		time.Sleep(2 * quarantine)
+		for _, r := range []*crash.Registry{asked, idle} {
+			if _, ok := r.Verdict(p).(crash.Clear); !ok {
+				t.Error("the part is in quarantine though no request with it came for twice its length")
+			}
+		}
+	})
+}
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -32,12 +32,15 @@
 				return false
 			}
 			// Not from now on, since the deaths may be old: a restarted node's quarantine ends when those of the others do.
-			rec.quarantineEnd = since.Add(r.quarantine)
+			rec.quarantineEnd = since.Add(r.quarantine * time.Duration(1+rec.prolonged))
 			if rec.quarantineEnd.After(now) {
 				r.log.Info("quarantine", "fingerprint", string(f), "upstreams", strings.Join(rec.upstreams(), " "),
 					"for-ms", r.quarantine.Milliseconds())
 			}
 		}
+		if r.isStillAskedFor(rec, now) {
+			r.prolong(f, rec, rec.prolonged+1)
+		}
 		if !rec.quarantineEnd.After(now) {
 			r.endQuarantine(f, rec)
 			continue
@@ -56,11 +59,36 @@
 	return !slices.ContainsFunc(rec.deaths, func(d *death) bool { return !r.isExplained(f, rec, d) })
 }
 
+// A quarantine is prolonged by its length if in the second half of that such requests were still refused. That is decided
+// before its end, so that the nodes without such requests learn of it in time.
+const (
+	prolongShare = 2  // the share of its length, as a divisor, at the end of which refusals count
+	decideShare  = 10 // the share of its length, as a divisor, that is left when it is prolonged
+)
+
+// isStillAskedFor reports whether a quarantine has to be prolonged now.
+func (r *Registry) isStillAskedFor(rec *record, now time.Time) bool {
+	return !now.Before(rec.quarantineEnd.Add(-r.quarantine/decideShare)) &&
+		rec.refusedAt.After(rec.quarantineEnd.Add(-r.quarantine/prolongShare))
+}
+
+// prolong records that a quarantine was prolonged a number of times.
+func (r *Registry) prolong(f Fingerprint, rec *record, times int) {
+	if times <= rec.prolonged {
+		return
+	}
+	if !rec.quarantineEnd.IsZero() {
+		rec.quarantineEnd = rec.quarantineEnd.Add(r.quarantine * time.Duration(times-rec.prolonged))
+		r.log.Info("quarantine-prolonged", "fingerprint", string(f), "times", times)
+	}
+	rec.prolonged = times
+}
+
 // endQuarantine ends a quarantine and drops the deaths before its end.
 func (r *Registry) endQuarantine(f Fingerprint, rec *record) {
 	end := rec.quarantineEnd
-	r.ended[f] = end
-	rec.quarantineEnd = time.Time{}
+	r.ended[f] = quarantineEnd{end, rec.prolonged}
+	rec.quarantineEnd, rec.prolonged, rec.refusedAt = time.Time{}, 0, time.Time{}
 	r.dropMarks(f, rec, func(m deathMark) bool { return !m.at.After(end) })
 }
 
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -30,6 +30,14 @@
 type record struct {
 	deaths        []*death
 	quarantineEnd time.Time // zero while it is not in quarantine
+	prolonged     int       // how often the quarantine was prolonged
+	refusedAt     time.Time // latest verdict of quarantine
+}
+
+// quarantineEnd is when a quarantine ended, and how often it had been prolonged.
+type quarantineEnd struct {
+	at        time.Time
+	prolonged int
 }
 
 // death is the death of one incarnation of an upstream, with the suspects that ran there.
@@ -64,8 +72,8 @@
 	running    map[Fingerprint]*runningRequest
 	deaths     []*death // the oldest first
 	cleared    map[Fingerprint]clearance
-	ended      map[Fingerprint]time.Time // end of the latest quarantine; earlier deaths don't count
-	contested  map[Fingerprint]time.Time // when another node sent marks that a clearance withdraws
+	ended      map[Fingerprint]quarantineEnd // of the latest quarantine; earlier deaths don't count
+	contested  map[Fingerprint]time.Time     // when another node sent marks that a clearance withdraws
 	seen       map[deathID]seenMark
 	// seenSweptAt is when old entries of seen were dropped last.
 	seenSweptAt time.Time
@@ -114,7 +122,7 @@
 		cleared:    make(map[Fingerprint]clearance),
 		records:    make(map[Fingerprint]*record),
 		running:    make(map[Fingerprint]*runningRequest),
-		ended:      make(map[Fingerprint]time.Time),
+		ended:      make(map[Fingerprint]quarantineEnd),
 		contested:  make(map[Fingerprint]time.Time),
 		seen:       make(map[deathID]seenMark),
 	}
@@ -142,6 +150,7 @@
 	}
 	rec := r.records[f]
 	if rec != nil && r.updateQuarantine(f, rec, now) {
+		rec.refusedAt = now
 		return Quarantined{remaining: rec.quarantineEnd.Sub(now)}
 	}
 	if rec = r.records[f]; rec == nil {
@@ -240,7 +249,7 @@
 		for _, d := range rec.deaths {
 			m := d.marks[f]
 			mark := m.Mark
-			mark.Age, mark.Quarantined = now.Sub(m.at), true
+			mark.Age, mark.Quarantined, mark.Prolonged = now.Sub(m.at), true, rec.prolonged
 			out = append(out, mark)
 		}
 	}
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -140,4 +140,5 @@
 
 	Age         time.Duration `json:"-"` // of the death or the clearance, when the mark was sent
 	Quarantined bool          `json:"-"` // the sender has the request in quarantine
+	Prolonged   int           `json:"-"` // how often the sender's quarantine was prolonged
 }
--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -79,7 +79,7 @@
 // holds the lock.
 func (m *Mesh) missingEvidence(evidence []crash.Mark) []crash.Mark {
 	live := 0
-	holders := make(map[uint32]int) // live nodes with a request in quarantine, by the hash of its fingerprint
+	holders := make(map[uint32]int) // live nodes with a quarantine, by its hash
 	for _, s := range m.peers {
 		if time.Since(s.LastSeen) > peerTTL {
 			continue
@@ -91,23 +91,26 @@
 	}
 	var missing []crash.Mark
 	for _, mark := range evidence {
-		if holders[fingerprintHash(mark.Fingerprint)] < live {
+		if holders[quarantineHash(mark)] < live {
 			missing = append(missing, mark)
 		}
 	}
 	return missing
 }
 
-// quarantinedHashes returns the hash of each fingerprint in evidence once.
+// quarantinedHashes returns the hash of each quarantine in evidence once.
 func quarantinedHashes(evidence []crash.Mark) []uint32 {
 	hashes := make(map[uint32]bool)
 	for _, mark := range evidence {
-		hashes[fingerprintHash(mark.Fingerprint)] = true
+		hashes[quarantineHash(mark)] = true
 	}
 	return slices.Collect(maps.Keys(hashes))
 }
 
-func fingerprintHash(f crash.Fingerprint) uint32 { return uint32(f.Key()) }
+// quarantineHash returns a hash of what a mark states of a quarantine: of what, and how often it was prolonged.
+func quarantineHash(mark crash.Mark) uint32 {
+	return uint32(mark.Fingerprint.Key()) + uint32(mark.Prolonged)
+}
 
 // applyMarks applies the crash marks in a digest.
 func (m *Mesh) applyMarks(d *wire.Digest) {
@@ -116,6 +119,7 @@
 			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
 			Stamp: c.GetStamp(), Symptom: crash.Symptom(c.GetSign()), Cleared: c.GetCleared(),
 			Age: time.Duration(c.GetAgeMs()) * time.Millisecond, Quarantined: c.GetQuarantined(),
+			Prolonged: int(c.GetProlonged()),
 		})
 	}
 }
@@ -124,6 +128,6 @@
 	return &wire.Crash{
 		Fingerprint: string(mark.Fingerprint), Upstream: mark.Upstream, DataCentre: mark.DataCentre, Stamp: mark.Stamp,
 		Sign: uint32(mark.Symptom), Cleared: mark.Cleared, AgeMs: uint32(mark.Age.Milliseconds()),
-		Quarantined: mark.Quarantined,
+		Quarantined: mark.Quarantined, Prolonged: uint32(mark.Prolonged),
 	}
 }
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -239,7 +239,8 @@
 		if c.GetCleared() {
 			id.stamp = 0 // the latest clearance includes the others
 		}
-		if known := s.crashes[id]; known == nil || c.GetQuarantined() || c.GetStamp() > known.GetStamp() {
+		if known := s.crashes[id]; known == nil || c.GetStamp() > known.GetStamp() ||
+			c.GetQuarantined() && c.GetProlonged() >= known.GetProlonged() {
 			s.crashes[id] = c
 		}
 	}
