Compute a node's share of a limit once, not at each choice

A choice of a path asked each upstream with a limit for the rank of this node among all others: 0.36, 3.2 and 14.7 us at 9, 84 and 370 nodes (BenchmarkWait). The share is now kept until the limit or the list of nodes changes: 34 to 46 ns.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -69,9 +69,9 @@
 	capacityFreed chan struct{} // closed and replaced when capacity may have become free
 	dataCentre    string        // the node's own data centre
 	partitions    map[string]*partition
-	nodes         int           // nodes that share the links between data centres, with this one
-	sharers       pacer.Sharers // of upstreams' limits
-	limitWake     *time.Timer   // wakes the requests that wait for an upstream's limit, or nil
+	nodes         int            // nodes that share the links between data centres, with this one
+	sharers       *pacer.Sharers // of upstreams' limits
+	limitWake     *time.Timer    // wakes the requests that wait for an upstream's limit, or nil
 	log           logr.Logger
 	linkBudgets   map[Key]*linkBudget // this node's budget on each link
 }
@@ -103,7 +103,7 @@
 		capacityFreed: make(chan struct{}),
 		partitions:    make(map[string]*partition),
 		nodes:         1, linkBudgets: make(map[Key]*linkBudget),
-		log: logr.Discard(),
+		log: logr.Discard(), sharers: &pacer.Sharers{},
 	}
 	for _, o := range opts {
 		o(b)
--- a/core/board/limit.go
+++ b/core/board/limit.go
@@ -8,7 +8,7 @@
 )
 
 // SetSharers sets the nodes that share the limits of upstreams.
-func (b *Board) SetSharers(s pacer.Sharers) {
+func (b *Board) SetSharers(s *pacer.Sharers) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sharers = s
--- a/core/pacer/limit.go
+++ b/core/pacer/limit.go
@@ -26,6 +26,8 @@
 	statedAt   time.Time // zero if the upstream never named a limit
 	tokens     float64   // requests that this node may send now
 	refilledAt time.Time
+	share      float64  // this node's part of the limit
+	shareOf    *Sharers // for which share was computed, or nil
 }
 
 // State records a limit that an upstream named at a time, and reports whether it changed what is known. A node begins
@@ -39,6 +41,9 @@
 		l.tokens, l.refilledAt = 0, now
 	}
 	l.latest, l.statedAt = Statement{PerSecond: perSecond}, at
+	if changed {
+		l.shareOf = nil
+	}
 	return changed
 }
 
@@ -76,7 +81,7 @@
 
 // Wait returns how long this node, with its share of the limit, has to wait before it may send a request; it returns
 // false if it may send none.
-func (l *Limit) Wait(s Sharers, upstream uint32, now time.Time) (time.Duration, bool) {
+func (l *Limit) Wait(s *Sharers, upstream uint32, now time.Time) (time.Duration, bool) {
 	if !l.isLimited() {
 		return 0, true
 	}
@@ -91,8 +96,11 @@
 }
 
 // refill adds the tokens since the last refill, and returns this node's rate in requests a second.
-func (l *Limit) refill(s Sharers, upstream uint32, now time.Time) float64 {
-	rate := max(minPerSecond, l.latest.PerSecond) * s.Share(upstream, l.latest.PerSecond)
+func (l *Limit) refill(s *Sharers, upstream uint32, now time.Time) float64 {
+	if l.shareOf != s {
+		l.share, l.shareOf = s.Share(upstream, l.latest.PerSecond), s
+	}
+	rate := max(minPerSecond, l.latest.PerSecond) * l.share
 	most := max(1, rate*burstTime.Seconds())
 	l.tokens = min(most, l.tokens+rate*now.Sub(l.refilledAt).Seconds())
 	l.refilledAt = now
--- a/core/pacer/limit_test.go
+++ b/core/pacer/limit_test.go
@@ -8,8 +8,8 @@
 )
 
 // nodes returns the sharers of each of n nodes.
-func nodes(n int) []Sharers {
-	var list []Sharers
+func nodes(n int) []*Sharers {
+	var list []*Sharers
 	for i := range n {
 		var others []uint32
 		for j := range n {
@@ -153,3 +153,16 @@
 		t.Errorf("wait %v, %v after the second's request, want 1s", wait, ok)
 	}
 }
+
+func BenchmarkWait(b *testing.B) {
+	for _, n := range []int{9, 84, 370} {
+		b.Run(fmt.Sprint(n, " nodes"), func(b *testing.B) {
+			var l Limit
+			s, start := nodes(n)[0], time.Unix(1000, 0)
+			l.State(10, start, start)
+			for i := range b.N {
+				l.Wait(s, 7, start.Add(time.Duration(i)))
+			}
+		})
+	}
+}
--- a/core/pacer/share.go
+++ b/core/pacer/share.go
@@ -12,19 +12,19 @@
 	unknownNodes = 32
 )
 
-// Sharers is the nodes that share the limits of upstreams. The zero value stands for an unknown list.
+// Sharers is the nodes that share the limits of upstreams; it is immutable. The zero value stands for an unknown list.
 type Sharers struct {
 	self   uint32 // hashes of the names
 	others []uint32
 }
 
 // NewSharers returns the sharers for a node and the others in the list of nodes, by the hashes of their names.
-func NewSharers(self uint32, others []uint32) Sharers { return Sharers{self, others} }
+func NewSharers(self uint32, others []uint32) *Sharers { return &Sharers{self, others} }
 
 // Share returns this node's part, from 0 to 1, of a limit in requests a second. An upstream that takes few requests gets
 // them from few nodes, which rendezvous hashing chooses: a bucket of one request for each of many nodes would let more
 // through at once than the limit allows in seconds.
-func (s Sharers) Share(upstream uint32, perSecond float64) float64 {
+func (s *Sharers) Share(upstream uint32, perSecond float64) float64 {
 	if len(s.others) == 0 && s.self == 0 {
 		return 1.0 / unknownNodes
 	}
