Keep the weight of a suspect's deaths instead of adding it up each time

A verdict asks for the weights of all suspects of each death. 0.28 ms before and 0.07 ms now after 40 deaths; 0.35 and 0.16 ms for what each period of gossip asks after 200 (BenchmarkVerdict, BenchmarkEvidence).

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -66,6 +66,7 @@
 		delete(d.marks, f)
 		return true
 	})
+	rec.weigh(f)
 	if len(rec.deaths) == 0 {
 		delete(r.records, f)
 	}
--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -73,6 +73,7 @@
 		rec.deaths = append(rec.deaths, d)
 	}
 	d.marks[m.Fingerprint] = deathMark{m, at}
+	rec.weigh(m.Fingerprint)
 	r.prolong(m.Fingerprint, rec, m.Prolonged)
 	if c := r.usage.get(m.Fingerprint).soundEnd; c.stamp > r.cleared[m.Fingerprint].stamp && now.Sub(c.at) < trustTime {
 		r.cleared[m.Fingerprint] = c
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -149,8 +149,8 @@
 	if f.isPart() && g.isPart() {
 		return r.partOutranks(g, other, f, rec)
 	}
-	if other.weight(g) != rec.weight(f) {
-		return other.weight(g) > rec.weight(f)
+	if other.weight != rec.weight {
+		return other.weight > rec.weight
 	}
 	// Of two requests with the same deaths neither is blamed, until there is one more.
 	return f.isPart() || len(rec.deaths) == rec.requiredDeaths(f)
@@ -160,32 +160,34 @@
 // deaths says little beside a part of few requests.
 func (r *Registry) partOutranks(g Fingerprint, other *record, f Fingerprint, rec *record) bool {
 	usesG, usesF := r.usage.get(g).requests, r.usage.get(f).requests
-	weightG, weightF := other.weight(g), rec.weight(f)
 	switch {
 	case usesG*narrowerFactor <= usesF && usesG < usesF:
-		return weightG >= weightF || len(other.deaths) >= partCrashesToQuarantine
+		return other.weight >= rec.weight || len(other.deaths) >= partCrashesToQuarantine
 	case usesF*narrowerFactor <= usesG && usesF < usesG:
 		return false
-	case weightG != weightF:
-		return weightG > weightF
+	case other.weight != rec.weight:
+		return other.weight > rec.weight
 	case usesG != usesF:
 		return usesG < usesF
 	}
 	return g < f
 }
 
-// weight returns how strongly the deaths of a suspect speak against it. An answer that had begun speaks less.
-func (r *record) weight(f Fingerprint) int {
+// weigh updates what follows from the deaths of a suspect. An answer that had begun speaks less against it.
+func (r *record) weigh(f Fingerprint) {
 	const earlyWeight, lateWeight = 2, 1
-	sum := 0
+	r.weight, r.wentSilent = 0, false
 	for _, d := range r.deaths {
-		if d.marks[f].Symptom == BrokeBeforeFirstToken {
-			sum += earlyWeight
-		} else {
-			sum += lateWeight
+		switch d.marks[f].Symptom {
+		case BrokeBeforeFirstToken:
+			r.weight += earlyWeight
+		case WentSilent:
+			r.wentSilent = true
+			r.weight += lateWeight
+		default:
+			r.weight += lateWeight
 		}
 	}
-	return sum
 }
 
 // requiredDeaths returns how many deaths a quarantine requires.
@@ -194,7 +196,7 @@
 	if f.isPart() {
 		required = partCrashesToQuarantine
 	}
-	if slices.ContainsFunc(r.deaths, func(d *death) bool { return d.marks[f].Symptom == WentSilent }) {
+	if r.wentSilent {
 		required++
 	}
 	return required
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -29,6 +29,8 @@
 // record holds the suspicion against one request or part.
 type record struct {
 	deaths        []*death
+	weight        int       // how strongly the deaths speak against it
+	wentSilent    bool      // at one of them the upstream went silent
 	quarantineEnd time.Time // zero while it is not in quarantine
 	prolonged     int       // how often the quarantine was prolonged
 	refusedAt     time.Time // latest verdict of quarantine
