Lift a limit only for an answer that is the upstream's own

An answer to another request, or one without the upstream's seal, names no limit and would have lifted the one in force, so that all nodes sent more than the upstream takes until its next answer. TestLimitsAreTakenFromOwnAnswersOnly failed in two of nine cases before.

--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -364,12 +364,13 @@
 		return nil, err
 	}
 	switch limit := a.RequestLimit; {
+	case a.IDMismatch:
 	case limit.Unreadable:
 		r.executor.log.Info("limit-unreadable", "request", r.request.ID, "upstream", s.Upstream.ID)
 	case limit.Stated:
 		r.executor.meter.Count("answers-with-limit")
 		r.executor.board.RecordLimit(s.Upstream, limit.PerSecond)
-	default:
+	case a.Sealed || a.NotRun: // any other answer may not be the upstream's own
 		r.executor.board.RecordNoLimit(s.Upstream, sentAt)
 	}
 	return a, nil
