Relay limits from what a relay knows, not from members' datagrams

A relay passed on the limits in the latest datagrams of its members with the age that they had when they were sent, so that an old statement grew younger by up to a second with each repetition and could replace a newer one. All nodes now apply the limits of each datagram at once, and a relay passes on its own, whose age counts from then.

--- a/core/board/gossip.go
+++ b/core/board/gossip.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rhubarbspread/core/fleet"
-	"rhubarbspread/core/pacer"
 )
 
 // Claim is the capacity of one upstream that a node's requests use.
@@ -28,7 +27,6 @@
 	Failed     []uint32           // ejected after failures
 	Refusing   []uint32           // ejected after refusals, once for each node that was refused
 	Slowdowns  map[uint32]float64 // slowdowns that upstreams reported to the node
-	Limits     map[uint32]pacer.Statement
 }
 
 // peerGossip is the latest gossip of another node.
@@ -96,11 +94,6 @@
 			s.slowdown, s.slowdownAt = slowdown, now
 		}
 	}
-	for k, s := range b.states {
-		if statement, ok := g.Limits[s.hash]; ok && s.limit.Apply(statement, now) {
-			b.logLimit(k.ID, s, "gossip")
-		}
-	}
 	for node, peer := range b.peers {
 		if now.Sub(peer.receivedAt) > claimTTL {
 			delete(b.peers, node)
--- a/core/board/limit.go
+++ b/core/board/limit.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// ApplyLimits applies what another node knows of the upstreams' limits, by the hashes of their keys.
+func (b *Board) ApplyLimits(limits map[uint32]pacer.Statement) {
+	if len(limits) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for k, s := range b.states {
+		if statement, ok := limits[s.hash]; ok && s.limit.Apply(statement, now) {
+			b.logLimit(k.ID, s, "gossip")
+		}
+	}
+}
+
 // Limits returns what is known of the upstreams' limits, by the hashes of their keys.
 func (b *Board) Limits() map[uint32]pacer.Statement {
 	b.mu.Lock()
--- a/io/mesh/limit_test.go
+++ b/io/mesh/limit_test.go
@@ -182,26 +182,28 @@
 
 // TestLiftedLimitIsForgotten guards against nodes that go on keeping a limit that its upstream no longer names.
 func TestLiftedLimitIsForgotten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		tc := limitCase{"", 9, 12, 1, func(f *crasherFleet, elapsed time.Duration) {
-			if elapsed == 9*time.Second {
-				for _, u := range f.upstreams {
-					f.limits.name(u.ID, -1)
+	for _, nodes := range []int{9, crasherNodes} {
+		synctest.Test(t, func(t *testing.T) {
+			tc := limitCase{"", nodes, limitUpstreams, 1, func(f *crasherFleet, elapsed time.Duration) {
+				if elapsed == 9*time.Second {
+					for _, u := range f.upstreams {
+						f.limits.name(u.ID, -1)
+					}
 				}
-			}
-		}}
-		f := tc.play(t, 0)
-		asked, served := 0, 0
-		for _, s := range f.sound {
-			if time.Since(s.askedAt) < 10*time.Second {
-				asked++
-				if s.isServed {
-					served++
+			}}
+			f := tc.play(t, 0)
+			asked, served := 0, 0
+			for _, s := range f.sound {
+				if time.Since(s.askedAt) < 10*time.Second {
+					asked++
+					if s.isServed {
+						served++
+					}
 				}
 			}
-		}
-		if served < asked {
-			t.Errorf("%d of %d requests were served though no upstream has named a limit for seconds", served, asked)
-		}
-	})
+			if served < asked {
+				t.Errorf("%d nodes: %d of %d requests were served though no upstream has named a limit for seconds", nodes, served, asked)
+			}
+		})
+	}
 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -198,6 +198,7 @@
 	}
 	m.mu.Unlock()
 	m.applyMarks(d)
+	m.board.ApplyLimits(limitsOf(d))
 	if d.GetScope() == wire.Scope_NODE && m.usesRelays() {
 		return // a relay's sum contains it
 	}
@@ -206,6 +207,17 @@
 	}
 }
 
+// limitsOf returns the limits of upstreams that a digest states.
+func limitsOf(d *wire.Digest) map[uint32]pacer.Statement {
+	limits := make(map[uint32]pacer.Statement, len(d.GetLimits()))
+	for _, l := range d.GetLimits() {
+		limits[l.GetUpstream()] = pacer.Statement{
+			PerSecond: l.GetPerSecond(), IsLifted: l.GetLifted(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		}
+	}
+	return limits
+}
+
 // applyDigest applies what a digest states about upstreams and retries.
 func (m *Mesh) applyDigest(d *wire.Digest) {
 	gossip := gossipOf(d)
@@ -233,15 +245,9 @@
 	for _, h := range d.GetHealth() {
 		slowdowns[h.GetUpstream()] = float64(h.GetPace()) / thousand
 	}
-	limits := make(map[uint32]pacer.Statement, len(d.GetLimits()))
-	for _, l := range d.GetLimits() {
-		limits[l.GetUpstream()] = pacer.Statement{
-			PerSecond: l.GetPerSecond(), IsLifted: l.GetLifted(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
-		}
-	}
 	g := board.Gossip{
 		Node: d.GetNode(), DataCentre: d.GetDataCentre(), Claims: claims, Failed: d.GetResting(), Refusing: d.GetRefusing(),
-		Slowdowns: slowdowns, Limits: limits,
+		Slowdowns: slowdowns,
 	}
 	if d.GetScope() == wire.Scope_OTHERS {
 		g.Node, g.DataCentre = allOthers, "" // the latest sum replaces those of other relays
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -165,8 +165,7 @@
 	health   map[uint32]*wire.Health
 	members  map[uint32]int // by the hash of the name
 	crashes  map[crashID]*wire.Crash
-	limits   map[uint32]*wire.Limit // the newest of each upstream
-	planners int                    // nodes that hold the lease
+	planners int // nodes that hold the lease
 	retries  map[uint32]*wire.Spent
 	nodes    int // that the sum covers
 	settled  int // of these, the nodes whose retry counts cover a whole window
@@ -182,11 +181,11 @@
 	return &digestSum{
 		claims: make(map[uint32]*wire.Claim), failed: make(map[uint32]int), health: make(map[uint32]*wire.Health),
 		members: make(map[uint32]int), refusing: make(map[uint32]int), retries: make(map[uint32]*wire.Spent),
-		crashes: make(map[crashID]*wire.Crash), limits: make(map[uint32]*wire.Limit),
+		crashes: make(map[crashID]*wire.Crash),
 	}
 }
 
-// add adds a digest if sign is 1, and subtracts it if sign is -1. Health, limits and crash marks are never subtracted.
+// add adds a digest if sign is 1, and subtracts it if sign is -1. Health and crash marks are never subtracted.
 func (s *digestSum) add(d *wire.Digest, sign int) {
 	for _, c := range d.GetClaims() {
 		sum := s.claims[c.GetUpstream()]
@@ -229,11 +228,6 @@
 	for _, h := range d.GetHealth() {
 		s.health[h.GetUpstream()] = h
 	}
-	for _, l := range d.GetLimits() {
-		if known := s.limits[l.GetUpstream()]; known == nil || l.GetAgeMs() < known.GetAgeMs() {
-			s.limits[l.GetUpstream()] = l
-		}
-	}
 	for _, c := range d.GetCrashes() {
 		id := crashID{c.GetFingerprint(), c.GetUpstream(), c.GetStamp()}
 		if c.GetCleared() {
@@ -253,6 +247,7 @@
 		Questions: own.GetQuestions(), Rules: rulesVersion, List: listVersion, Scope: scope,
 		Quarantined: own.GetQuarantined(), Crashes: limitMarks(slices.Collect(maps.Values(s.crashes))),
 		Plans: s.planners > 0, Nodes: uint32(s.nodes), Settled: uint32(s.settled),
+		Limits: own.GetLimits(), // which include the newest of those received
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
@@ -270,7 +265,6 @@
 	for _, h := range s.health {
 		d.Health = append(d.Health, h)
 	}
-	d.Limits = slices.Collect(maps.Values(s.limits))
 	for hash, n := range s.members {
 		if n > 0 {
 			d.Members = append(d.Members, hash)
