Judge a part anew when an earlier answer to it becomes known

A node that heard of another node's answer only after it had put the part in quarantine kept it there: the clearance was older than the marks, and only clearances that withdraw marks ended a quarantine. Found on reading.

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -50,15 +50,13 @@
 	r.log.Info("crash-cleared", "fingerprint", string(m.Fingerprint), "stamp", m.Stamp, "age-ms", m.Age.Milliseconds())
 	r.cleared[m.Fingerprint] = clearance{stamp: m.Stamp, at: now.Add(-m.Age)}
 	if rec := r.records[m.Fingerprint]; rec != nil {
-		if r.dropMarks(m.Fingerprint, rec, func(d deathMark) bool { return d.Stamp < m.Stamp }) {
-			rec.quarantineEnd = time.Time{}
-		}
+		r.dropMarks(m.Fingerprint, rec, func(d deathMark) bool { return d.Stamp < m.Stamp })
+		rec.quarantineEnd, rec.prolonged = time.Time{}, 0 // the other marks are judged anew
 	}
 }
 
-// dropMarks removes the marks of a suspect that match, and the suspect if none is left. It reports whether it removed any.
-func (r *Registry) dropMarks(f Fingerprint, rec *record, matches func(deathMark) bool) bool {
-	before := len(rec.deaths)
+// dropMarks removes the marks of a suspect that match, and the suspect if none is left.
+func (r *Registry) dropMarks(f Fingerprint, rec *record, matches func(deathMark) bool) {
 	rec.deaths = slices.DeleteFunc(rec.deaths, func(d *death) bool {
 		if !matches(d.marks[f]) {
 			return false
@@ -70,7 +68,6 @@
 	if len(rec.deaths) == 0 {
 		delete(r.records, f)
 	}
-	return len(rec.deaths) < before
 }
 
 // Acquittals returns the clearances that other nodes may lack: those of suspected parts that this node had an answer to
--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -145,6 +145,35 @@
 	})
 }
 
+// TestEarlierAnswerLiftsAQuarantine guards against a part that stays in quarantine at a node that heard too late of another
+// node's answer from before the deaths.
+func TestEarlierAnswerLiftsAQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		newRegistry := func() *crash.Registry {
+			return crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		}
+		answered, late := newRegistry(), newRegistry()
+		first := part("first")
+		answered.Completed(first)
+		for i := range 4 {
+			time.Sleep(time.Second)
+			m, _ := late.RecordDeath(first, fmt.Sprint("u", i), "dc", crash.BrokeBeforeFirstToken)
+			answered.ApplyMark(m)
+		}
+		time.Sleep(time.Second)
+		if _, ok := late.Verdict(first).(crash.Quarantined); !ok {
+			t.Fatal("a part with four deaths is not in quarantine")
+		}
+		for _, m := range answered.Acquittals() {
+			late.ApplyMark(m)
+		}
+		if _, ok := late.Verdict(first).(crash.Quarantined); ok {
+			t.Error("a part that was answered seconds before the deaths stays in quarantine")
+		}
+	})
+}
+
 // TestDeathsAfterAQuarantineCountWheneverItsEndIsNoticed guards against the end of a quarantine that is noticed late and
 // withdraws the marks of deaths after it.
 func TestDeathsAfterAQuarantineCountWheneverItsEndIsNoticed(t *testing.T) {
--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -57,7 +57,7 @@
 	return limitMarks(list)
 }
 
-// limitMarks returns the most important marks: those of quarantined requests and clearances, then the latest. When a rack or a data
+// limitMarks returns the most important marks: clearances and those of quarantines, then the latest. When a rack or a data
 // centre fails, there are many, which say little.
 func limitMarks(list []*wire.Crash) []*wire.Crash {
 	if len(list) <= maxMarks {
