--- a/core/board/limit_test.go
+++ b/core/board/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rhubarbspread/core/fleet"
@@ -43,33 +44,33 @@
 // TestLimitedPlainUpstreamIsNoLastResort checks that a plain upstream at its limit is not sent a request because all others
 // are ejected, and that waiting requests are woken when it may get the next one.
 func TestLimitedPlainUpstreamIsNoLastResort(t *testing.T) {
-	c := newClock()
-	b := newBoard(c, 1)
-	limited, failed := upstream("limited", "a", "", 0, 0), upstream("failed", "a", "", 0, 0)
-	list := []*fleet.Upstream{limited, failed}
-	b.SetUpstreams(fleet.NewList(1, list))
-	b.SetSharers(pacer.NewSharers(1, nil))
-	b.RecordLimit(limited, 20)
-	b.RecordFailure(failed)
-	freed := b.CapacityFreed()
-	r := b.ReservePlain(list, nil)
-	if r == nil || r.Upstream != failed {
-		t.Fatalf("reserved %+v, want the ejected upstream", r)
-	}
-	if r := b.ReservePlain(list, []string{"failed"}); r != nil {
-		t.Fatalf("reserved %s beyond its limit", r.Upstream.ID)
-	}
-	c.advance(50 * time.Millisecond)
-	select {
-	case <-freed:
-	case <-time.After(5 * time.Second):
-		t.Fatal("waiting requests are not woken")
-	}
-	if r := b.ReservePlain(list, nil); r == nil || r.Upstream != limited {
-		t.Errorf("reserved %+v, want the upstream with a limit", r)
-	}
-	b.RecordNoLimit(limited, c.now().Add(time.Millisecond))
-	if b.LimitedUpstreams() != 0 {
-		t.Error("a lifted limit is still in force")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		b := New(WithSeed(1))
+		limited, failed := upstream("limited", "a", "", 0, 0), upstream("failed", "a", "", 0, 0)
+		list := []*fleet.Upstream{limited, failed}
+		b.SetUpstreams(fleet.NewList(1, list))
+		b.SetSharers(pacer.NewSharers(1, nil))
+		b.RecordLimit(limited, 20)
+		b.RecordFailure(failed)
+		freed := b.CapacityFreed()
+		r := b.ReservePlain(list, nil)
+		if r == nil || r.Upstream != failed {
+			t.Fatalf("reserved %+v, want the ejected upstream", r)
+		}
+		if r := b.ReservePlain(list, []string{"failed"}); r != nil {
+			t.Fatalf("reserved %s beyond its limit", r.Upstream.ID)
+		}
+		start := time.Now()
+		<-freed
+		if waited := time.Since(start); waited != 50*time.Millisecond {
+			t.Errorf("waiting requests were woken after %v, want 50ms", waited)
+		}
+		if r := b.ReservePlain(list, nil); r == nil || r.Upstream != limited {
+			t.Errorf("reserved %+v, want the upstream with a limit", r)
+		}
+		b.RecordNoLimit(limited, time.Now().Add(time.Millisecond))
+		if b.LimitedUpstreams() != 0 {
+			t.Error("a lifted limit is still in force")
+		}
+	})
 }
--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -1,2 +1,2 @@
-// Package crash detects requests that crash the upstreams that run them, and quarantines such requests.
+// Package crash detects requests, and parts of prompts, that crash the upstreams that run them, and quarantines them.
 package crash
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -47,9 +47,6 @@
 	return r
 }
 
-// Parts returns the fingerprints of the parts of the prompt that other requests may share.
-func (r *Request) Parts() []crash.Fingerprint { return r.parts }
-
 // suspects returns the fingerprints that the request may be suspected by: of its parts, then its own.
 func (r *Request) suspects() []crash.Fingerprint {
 	return append(slices.Clone(r.parts), r.fingerprint)
