Send fewer and fewer often repeated crash marks

A mark is now in each datagram for three periods, and then with every fourth until 3 s; a datagram has at most 96, those of parts before those of requests.

--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -16,7 +16,10 @@
 	// evidencePeriods is the number of periods between two datagrams with the marks of quarantined requests that a
 	// receiver lacks, as a node does that has restarted or was cut off.
 	evidencePeriods = 4
-	maxMarks        = 256 // in one datagram, which all its claims share
+	maxMarks        = 96 // in one datagram, which all its claims share
+	// urgentMarkTime is for how long a mark is in each datagram; later it is repeated with the evidence only. A relay sends
+	// all marks of its data centre to each member, over a link that may be slow.
+	urgentMarkTime = 3 * gossipPeriod
 )
 
 // recentMark is a mark that each datagram repeats for a while.
@@ -44,6 +47,9 @@
 		list = append(list, encodeMark(mark))
 	}
 	for _, r := range m.recentMarks {
+		if sequence%evidencePeriods != 0 && time.Since(r.sentAt) > urgentMarkTime {
+			continue
+		}
 		mark := r.mark
 		mark.Age = time.Since(r.sentAt)
 		list = append(list, encodeMark(mark))
@@ -57,17 +63,20 @@
 	return limitMarks(list)
 }
 
-// limitMarks returns the most important marks: clearances and those of quarantines, then the latest. When a rack or a data
-// centre fails, there are many, which say little.
+// limitMarks returns the most important marks: clearances and those of quarantines, those of parts, of which a death has
+// few, then the latest. When a rack or a data centre fails, there are many, which say little.
 func limitMarks(list []*wire.Crash) []*wire.Crash {
 	if len(list) <= maxMarks {
 		return list
 	}
 	rank := func(c *wire.Crash) int {
-		if c.GetQuarantined() || c.GetCleared() {
+		switch {
+		case c.GetQuarantined() || c.GetCleared():
 			return 0
+		case crash.Fingerprint(c.GetFingerprint()).IsPart():
+			return 1
 		}
-		return 1
+		return 2
 	}
 	slices.SortFunc(list, func(a, b *wire.Crash) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.GetStamp(), a.GetStamp()))
