--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -339,6 +339,7 @@
 	for _, nodes := range []int{5, crasherNodes} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%d nodes, seed %d", nodes, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newCrasherFleet(t, nodes, seed)
 					f.run(30*time.Second, func(time.Duration) {
@@ -386,6 +387,7 @@
 	for _, tc := range unrelatedDeaths {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newCrasherFleet(t, crasherNodes, seed)
 					f.runCrashers(tc.crashers, tc.flapping)
@@ -417,6 +419,7 @@
 	)
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newCrasherFleet(t, crasherNodes, seed)
 				restarted := f.random.Perm(crasherNodes)
--- a/io/mesh/limit_test.go
+++ b/io/mesh/limit_test.go
@@ -165,6 +165,7 @@
 	} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := tc.play(t, seed)
 					f.limits.check(t)
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -54,6 +54,7 @@
 // playPartCase plays a case at one seed and applies the checks.
 func playPartCase(t *testing.T, tc partCase, seed uint64, checks ...func(*crasherFleet)) {
 	t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
 			f := newCrasherFleet(t, tc.nodes, seed)
 			traffic := &partTraffic{fleet: f, perSecond: tc.perSecond, crashing: tc.crashing, isFirst: tc.isFirst}
