Log by which way a configuration came into force, and the age of the store's answer before

The line of a new version now names its source and the time since the store's answer before the latest one, which is the length of the poll.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -118,7 +118,7 @@
 func (n *Node) recordSuccess(t store.Topic) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	n.storeReadAt[t] = time.Now()
+	n.storeReadBefore[t], n.storeReadAt[t] = n.storeReadAt[t], time.Now()
 	if t == store.Upstreams {
 		n.outage.ReadSucceeded(time.Now())
 	}
@@ -128,6 +128,16 @@
 	}
 }
 
+// sinceAnswer returns the time since the answer of the store on a topic before the latest one.
+func (n *Node) sinceAnswer(t store.Topic) time.Duration {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	if n.storeReadBefore[t].IsZero() {
+		return time.Since(n.started)
+	}
+	return time.Since(n.storeReadBefore[t])
+}
+
 // expiryGraceEnd returns the time until which entries that expire now may reappear.
 func (n *Node) expiryGraceEnd() time.Time {
 	n.storeMu.Lock()
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -76,8 +76,10 @@
 
 	storeMu      sync.Mutex
 	storeFailing map[store.Topic]bool
-	storeReadAt  map[store.Topic]time.Time
-	outage       *fleet.Outage
+	storeReadAt  map[store.Topic]time.Time // of the latest answer
+	// storeReadBefore is the time of the answer before the latest.
+	storeReadBefore map[store.Topic]time.Time
+	outage          *fleet.Outage
 }
 
 // Option configures a Node.
@@ -97,7 +99,8 @@
 		stats:        stats.New(),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeFailing: make(map[store.Topic]bool), storeReadAt: make(map[store.Topic]time.Time),
-		outage: fleet.NewOutage(c.HeartbeatInterval, expiryGrace),
+		storeReadBefore: make(map[store.Topic]time.Time),
+		outage:          fleet.NewOutage(c.HeartbeatInterval, expiryGrace),
 	}
 	for _, o := range opts {
 		o(n)
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -85,7 +85,7 @@
 	switch ch.topic {
 	case store.Configuration:
 		for _, row := range ch.rows {
-			c.applyConfiguration(row)
+			c.applyConfiguration(row, ch.fromStore)
 		}
 	case store.Upstreams:
 		if ch.version < c.listVersion && !(ch.snapshot && ch.fromStore) {
@@ -105,7 +105,7 @@
 }
 
 // applyConfiguration puts a newer configuration in force; one that can't be decoded changes nothing.
-func (c *control) applyConfiguration(row store.FeedRow) {
+func (c *control) applyConfiguration(row store.FeedRow, fromStore bool) {
 	if row.Removed {
 		return
 	}
@@ -118,7 +118,12 @@
 		return
 	}
 	c.rules, c.rawRules = r, row.Value
-	c.node.log.Info("configuration", "version", r.Version(), "routes", r.Routes())
+	source := "another node"
+	if fromStore {
+		source = "store"
+	}
+	c.node.log.Info("configuration", "version", r.Version(), "routes", r.Routes(), "source", source,
+		"previous-answer-ms", c.node.sinceAnswer(store.Configuration).Milliseconds())
 }
 
 // applyUpstreams applies changed entries, or a whole list, of upstreams.
