Bound polls of the store by the time in which changes must be in force

Cause: a node follows the configuration by a long poll of 10 s. When the open connections to the store go silent, only the poll's time-out (11.5 s) or keep-alive probes (2.5 to 3 s) end it; both are longer than the bound of 2 s, and the next call may take another kept connection that is silent as well. Other nodes help only if one of them has the version. The list of upstreams was read in the same way, so that draining upstreams got requests.

After several failures the store has more time, as it may be slow. A node that has had no answer for the bound no longer says that a route does not exist.

--- a/core/store/feed.go
+++ b/core/store/feed.go
@@ -31,7 +31,8 @@
 type Feed interface {
 	// Snapshot returns all rows of a topic and the feed version that they reflect.
 	Snapshot(ctx context.Context, t Topic) ([]FeedRow, uint64, error)
-	// Changes waits for rows that changed after a feed version and returns them with the version to continue from.
+	// Changes waits for rows that changed after a feed version and returns them with the version to continue from. The
+	// context bounds the call, also where its connection has gone silent.
 	Changes(ctx context.Context, t Topic, since uint64, wait time.Duration) ([]FeedRow, uint64, error)
 	// Write writes a row of the topic Nodes, or removes it if the value is nil.
 	Write(ctx context.Context, key string, value []byte) error
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -28,6 +28,7 @@
 
 	HeartbeatInterval time.Duration // interval at which an upstream renews its entry
 	DrainBound        time.Duration // longest time until a draining upstream gets no new requests
+	ApplyBound        time.Duration // longest time until a new configuration is in force
 	GracePeriod       time.Duration // from SIGTERM to SIGKILL
 	RetryShare        float64       // retries per first attempt, of all nodes together
 	RetryExtra        float64       // further retries in a window, of all nodes together
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -11,9 +11,15 @@
 
 // Times of reading the store.
 const (
-	// configWait is the wait of one long poll for the configuration; the platform bills each call.
-	configWait      = 10 * time.Second
-	otherTopicsWait = 25 * time.Second // the same for the other topics, which may be older
+	// A poll for the configuration is held for a part of the bound on putting it in force, one for the list for a part of
+	// the drain bound. The answer may come later by a part of the same bound. A poll whose connection has gone silent then
+	// leaves time for another one.
+	configWaitDivisor = 3
+	listWaitDivisor   = 6
+	marginDivisor     = 6
+	minMargin         = 100 * time.Millisecond
+	maxMargin         = 1500 * time.Millisecond // for a slow store
+	nodesWait         = 25 * time.Second        // for the list of nodes, which may be older
 	// The pause between polls for the list, which changes all the time, is at least the drain bound divided by the
 	// first of these, and at most the drain bound divided by the second.
 	shortestPauseDivisor = 3
@@ -35,15 +41,15 @@
 		ch := change{topic: t, snapshot: !hasSnapshot, fromStore: true}
 		var err error
 		if hasSnapshot {
-			ch.rows, ch.version, err = n.platform.Feed.Changes(ctx, t, since, waitFor(t))
+			ch.rows, ch.version, err = n.pollChanges(ctx, t, since, failures)
 		} else {
 			ch.rows, ch.version, err = n.platform.Feed.Snapshot(ctx, t)
 		}
 		if err != nil {
 			hasSnapshot = hasSnapshot && !store.Is(err, store.Compacted)
 			n.recordFailure(t, err)
+			sleep(ctx, backoff(failures, err))
 			failures++
-			sleep(ctx, min(maxRetryBackoff, retryBackoff*time.Duration(failures)))
 			continue
 		}
 		n.recordSuccess(t)
@@ -71,12 +77,54 @@
 	return newest
 }
 
-// waitFor returns the wait of one long poll for a topic's changes.
-func waitFor(t store.Topic) time.Duration {
-	if t == store.Configuration {
-		return configWait
+// pollChanges polls once for a topic's changes, after a number of failed calls in a row.
+func (n *Node) pollChanges(
+	ctx context.Context, t store.Topic, since uint64, failures int,
+) ([]store.FeedRow, uint64, error) {
+	p := n.pollFor(t, failures)
+	ctx, cancel := context.WithTimeout(ctx, p.wait+p.margin)
+	defer cancel()
+	return n.platform.Feed.Changes(ctx, t, since, p.wait)
+}
+
+// poll holds the times of one poll.
+type poll struct {
+	wait   time.Duration // for which the store holds it if nothing changes
+	margin time.Duration // after that, until it is given up
+}
+
+// pollFor returns the times of the next poll for a topic's changes.
+func (n *Node) pollFor(t store.Topic, failures int) poll {
+	settings := n.settings.Load()
+	switch t {
+	case store.Configuration:
+		return newPoll(settings.ApplyBound, configWaitDivisor, failures)
+	case store.Upstreams:
+		return newPoll(settings.DrainBound, listWaitDivisor, failures)
+	}
+	return poll{wait: nodesWait, margin: maxMargin}
+}
+
+// newPoll returns the times of a poll by which changes have to be known within a bound. After a failure the store is asked
+// for an immediate answer, and after several it has more time for that, as it may be slow.
+func newPoll(bound time.Duration, waitDivisor, failures int) poll {
+	p := poll{wait: bound / time.Duration(waitDivisor), margin: max(minMargin, bound/marginDivisor)}
+	if failures > 0 {
+		p.wait = 0
+	}
+	for range failures - 1 {
+		p.margin = max(p.margin, min(maxMargin, 2*p.margin))
+	}
+	return p
+}
+
+// backoff returns the pause after a failed call that follows a number of failures in a row. A call without an answer may
+// have used a connection that has gone silent, so that it is repeated at once.
+func backoff(failures int, err error) time.Duration {
+	if store.Is(err, store.Uncertain) {
+		failures--
 	}
-	return otherTopicsWait
+	return min(maxRetryBackoff, retryBackoff*time.Duration(failures+1))
 }
 
 // pauseFor returns the pause between two polls for a topic's changes.
--- a/io/entry/follow_test.go
+++ b/io/entry/follow_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh"
 )
 
@@ -60,3 +61,61 @@
 		})
 	}
 }
+
+// TestPollsLeaveTimeForAnother guards against polls whose connection has gone silent and which end too late for another one
+// within the bound.
+func TestPollsLeaveTimeForAnother(t *testing.T) {
+	for _, bound := range []time.Duration{
+		600 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 7 * time.Second, 30 * time.Second,
+	} {
+		for _, tc := range []struct {
+			topic       string
+			waitDivisor int
+			pause       time.Duration
+		}{
+			{"configuration", configWaitDivisor, 0},
+			{"upstreams", listWaitDivisor, listPause(bound)},
+		} {
+			silent, next := newPoll(bound, tc.waitDivisor, 0), newPoll(bound, tc.waitDivisor, 1)
+			if next.wait != 0 {
+				t.Errorf("%s: the poll after a failed one waits for %v, want an immediate answer", tc.topic, next.wait)
+			}
+			if total := tc.pause + silent.wait + silent.margin + next.margin; total > bound {
+				t.Errorf("%s: %v until the second poll ends, want at most %v", tc.topic, total, bound)
+			}
+		}
+	}
+}
+
+// TestSlowStoreGetsMoreTime guards against polls that are all given up because the store is slow.
+func TestSlowStoreGetsMoreTime(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 30 * time.Second} {
+		margin := time.Duration(0)
+		for failures := range 8 {
+			p := newPoll(bound, configWaitDivisor, failures)
+			if p.margin < margin {
+				t.Errorf("%v after %d failures, less than the %v before", p.margin, failures, margin)
+			}
+			margin = p.margin
+		}
+		if margin < maxMargin {
+			t.Errorf("at most %v for an answer, want at least %v", margin, maxMargin)
+		}
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	silent, refused := store.NewError(store.Uncertain, ""), store.NewError(store.NotSent, "")
+	for _, tc := range []struct {
+		failures int
+		err      error
+		want     time.Duration
+	}{
+		{0, silent, 0}, {1, silent, retryBackoff}, {9, silent, maxRetryBackoff},
+		{0, refused, retryBackoff}, {1, refused, 2 * retryBackoff}, {9, refused, maxRetryBackoff},
+	} {
+		if got := backoff(tc.failures, tc.err); got != tc.want {
+			t.Errorf("%v after %d failures and %v, want %v", got, tc.failures, tc.err, tc.want)
+		}
+	}
+}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -200,7 +200,7 @@
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
 	return !n.storeFailing[store.Configuration] &&
-		time.Since(n.storeReadAt[store.Configuration]) < configWait+2*time.Second
+		time.Since(n.storeReadAt[store.Configuration]) < n.settings.Load().ApplyBound
 }
 
 // isReady reports whether the node can serve: it is not stopping, and has a configuration and upstreams.
