Test that a part which begins to crash upstreams is refused in time

In the test the part is answered for 6 s and then crashes what runs it, at one to 13 requests a second, 3 to 24 nodes, beside flapping upstreams and a lost rack.

--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -58,6 +58,10 @@
 	cutUntil  map[string]time.Time     // by data centre
 	sound     []soundRequest           // those that crash nothing
 	limits    *namedLimits             // of the upstreams, or nil
+
+	turnAt     time.Time     // until which no part crashes upstreams
+	lateAfter  time.Duration // after which the bound on sends applies
+	answerTime time.Duration // of a request
 }
 
 func newCrasherFleet(t *testing.T, nodes int, seed uint64) *crasherFleet {
@@ -65,6 +69,7 @@
 		group: newGroup(t, nodes, "a", "b", "c", "d"), downUntil: make(map[string]time.Time),
 		crashed: make(map[string]chan struct{}), crashes: make(map[string][]time.Time), lateSends: make(map[string]int), cutUntil: make(map[string]time.Time),
 		bodies: make(map[crash.Fingerprint]string), parts: make(map[crash.Fingerprint]string), random: rand.New(rand.NewPCG(seed, 1)),
+		lateAfter: settleTime, answerTime: 200 * time.Millisecond,
 	}
 	f.upstreams = nil
 	for i := range 40 {
@@ -144,7 +149,7 @@
 	for cause, crashes := range f.crashes {
 		if f.lateSends[cause] > maxLateSends {
 			f.t.Errorf("%q was sent %d times later than %v after crash %d, want at most %d; it crashed %d upstreams in all",
-				cause, f.lateSends[cause], settleTime, boundAfter(cause), maxLateSends, len(crashes))
+				cause, f.lateSends[cause], f.lateAfter, boundAfter(cause), maxLateSends, len(crashes))
 		}
 	}
 }
@@ -219,14 +224,14 @@
 	}
 	limit := v.fleet.limits.arrive(v.node, s.Upstream.ID)
 	crashed := v.fleet.beginAt(s.Upstream)
-	if cause := crashCause(s.Request); cause != "" {
+	if cause := crashCause(s.Request); cause != "" && !time.Now().Before(v.fleet.turnAt) {
 		time.Sleep(20 * time.Millisecond)
 		v.fleet.crash(cause, s.Upstream, v)
 	}
 	select {
 	case <-crashed:
 		return nil, proxy.NewSendError(true, errors.New("connection reset"))
-	case <-time.After(200 * time.Millisecond):
+	case <-time.After(v.fleet.answerTime):
 		v.fleet.limits.tell(v.node, s.Upstream.ID, limit)
 		return &proxy.Answer{AnswerInfo: proxy.AnswerInfo{Sealed: true, RequestLimit: limit}, Status: http.StatusOK, Header: http.Header{},
 			Body: io.NopCloser(strings.NewReader("done"))}, nil
@@ -301,7 +306,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	crashes, bound := f.crashes[cause], boundAfter(cause)
-	if len(crashes) >= bound && now.Sub(crashes[bound-1]) > settleTime && f.isInTouch(v) {
+	if len(crashes) >= bound && now.Sub(crashes[bound-1]) > f.lateAfter && f.isInTouch(v) {
 		f.lateSends[cause]++
 	}
 	if f.stopLocked(u, upstreamDownTime) {
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -177,3 +177,49 @@
 		}
 	}
 }
+
+// TestPartThatBeginsToCrashIsRefused guards against requests that are sent on though upstreams die of a part that was answered
+// for a while before.
+func TestPartThatBeginsToCrashIsRefused(t *testing.T) {
+	const (
+		soundTime      = 6 * time.Second
+		crashTime      = 20 * time.Second
+		stabilityBound = 3 * time.Second // the shortest that the users name
+	)
+	for _, tc := range []struct {
+		name       string
+		nodes      int
+		perSecond  float64
+		answerTime time.Duration
+		disturb    func(f *crasherFleet, elapsed time.Duration)
+	}{
+		{"a fifth of the traffic", crasherNodes, 13, 200 * time.Millisecond, nil},
+		{"a fifth of the traffic, few nodes", 9, 13, 200 * time.Millisecond, nil},
+		{"four requests a second", crasherNodes, 4, 200 * time.Millisecond, nil},
+		{"one request a second", crasherNodes, 1, 200 * time.Millisecond, nil},
+		{"three nodes", 3, 4, 200 * time.Millisecond, nil},
+		{"answers of before that end later", 9, 8, 3 * time.Second, nil},
+		{"flapping upstreams", 9, 8, 200 * time.Millisecond, flap},
+		{"a lost rack", 9, 8, 200 * time.Millisecond, loseRack},
+	} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newCrasherFleet(t, tc.nodes, seed)
+					f.turnAt, f.lateAfter, f.answerTime = time.Now().Add(soundTime), stabilityBound, tc.answerTime
+					traffic := &partTraffic{fleet: f, perSecond: tc.perSecond, crashing: 1}
+					f.run(soundTime+crashTime, func(elapsed time.Duration) {
+						if tc.disturb != nil {
+							tc.disturb(f, elapsed)
+						}
+						traffic.tick()
+					})
+					f.checkSends()
+					f.checkSound()
+					f.checkParts()
+				})
+			})
+		}
+	}
+}
