Let the polls for the list show that connections to the store have gone silent

The polls for the list are as frequent anyway. Now the poll for the configuration waits for 10 s again, but is interrupted and repeated at once when a poll for another topic gets no answer; polls for the list leave time for that within the shorter of both bounds.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"rhubarbspread/core/store"
@@ -11,20 +13,20 @@
 
 // Times of reading the store.
 const (
-	// A poll for the configuration is held for a part of the bound on putting it in force, one for the list for a part of
-	// the drain bound. The answer may come later by a part of the same bound. A poll whose connection has gone silent then
-	// leaves time for another one.
-	configWaitDivisor = 3
-	listWaitDivisor   = 6
-	marginDivisor     = 6
-	minMargin         = 100 * time.Millisecond
-	maxMargin         = 1500 * time.Millisecond // for a slow store
-	nodesWait         = 25 * time.Second        // for the list of nodes, which may be older
-	// The pause between polls for the list, which changes all the time, is at least the drain bound divided by the
-	// first of these, and at most the drain bound divided by the second.
+	// configWait is the wait of one long poll for the configuration; the platform bills each call.
+	configWait = 10 * time.Second
+	nodesWait  = 25 * time.Second // the same for the nodes, which may be older
+	// A poll for the list, which changes all the time, waits for a part of the shortest bound on changes. An answer may
+	// come later by a part of it. A poll whose connection has gone silent then leaves time for another one.
+	listWaitDivisor = 6
+	marginDivisor   = 6
+	minMargin       = 100 * time.Millisecond
+	maxMargin       = 1500 * time.Millisecond // for a slow store
+	// The pause between polls for the list is at least the same bound divided by the first of these, and at most that
+	// divided by the second.
 	shortestPauseDivisor = 3
 	longestPauseDivisor  = 2
-	failedCallTime       = 1500 * time.Millisecond // part of the drain bound left for a failed call and the next one
+	failedCallTime       = 1500 * time.Millisecond // part of that bound left for a failed call and the next one
 	nodesPause           = 6 * time.Second         // between polls for the nodes: a new node announces itself by datagram
 	startupNodesPause    = 2 * time.Second         // the same after this node's start, when all nodes may start together
 	startupTime          = 20 * time.Second        // for which startupNodesPause applies
@@ -33,28 +35,41 @@
 	maxRetryBackoff      = 700 * time.Millisecond  // longest pause between failed calls
 )
 
+// errStoreSuspected ends polls whose connections may have gone silent, as that of another call of the store did.
+var errStoreSuspected = errors.New("another call of the store got no answer")
+
+// follower is the state of reading one topic.
+type follower struct {
+	topic       store.Topic
+	since       uint64
+	hasSnapshot bool
+	failures    int  // failed calls in a row
+	isUrgent    bool // the next poll asks for an immediate answer
+}
+
 // followTopic reads one topic and its changes until the context is canceled.
 func (n *Node) followTopic(ctx context.Context, t store.Topic, changes chan<- change) error {
-	since := uint64(0)
-	hasSnapshot, failures := false, 0
+	f := &follower{topic: t}
 	for ctx.Err() == nil {
-		ch := change{topic: t, snapshot: !hasSnapshot, fromStore: true}
-		var err error
-		if hasSnapshot {
-			ch.rows, ch.version, err = n.pollChanges(ctx, t, since, failures)
-		} else {
-			ch.rows, ch.version, err = n.platform.Feed.Snapshot(ctx, t)
-		}
-		if err != nil {
-			hasSnapshot = hasSnapshot && !store.Is(err, store.Compacted)
+		ch, err := n.readChange(ctx, f)
+		switch {
+		case errors.Is(err, errStoreSuspected):
+			f.isUrgent = true
+			continue
+		case err != nil:
+			f.hasSnapshot = f.hasSnapshot && !store.Is(err, store.Compacted)
 			n.recordFailure(t, err)
-			sleep(ctx, backoff(failures, err))
-			failures++
+			if store.Is(err, store.Uncertain) {
+				n.polls.interruptOthers(t)
+			}
+			sleep(ctx, backoff(f.failures, err))
+			f.failures++
+			f.isUrgent = true
 			continue
 		}
 		n.recordSuccess(t)
-		failures = 0
-		hasSnapshot, since = true, ch.version
+		f.failures, f.isUrgent = 0, false
+		f.hasSnapshot, f.since = true, ch.version
 		ch.version = newestVersion(ch)
 		if len(ch.rows) > 0 || ch.snapshot {
 			select {
@@ -67,6 +82,53 @@
 	return nil
 }
 
+// readChange reads a topic, or polls once for its changes. Its error is errStoreSuspected if the poll was interrupted.
+func (n *Node) readChange(ctx context.Context, f *follower) (change, error) {
+	ch := change{topic: f.topic, snapshot: !f.hasSnapshot, fromStore: true}
+	var err error
+	if !f.hasSnapshot {
+		ch.rows, ch.version, err = n.platform.Feed.Snapshot(ctx, f.topic)
+		return ch, err
+	}
+	p := n.pollFor(f)
+	ctx, cancel := context.WithTimeout(ctx, p.wait+p.margin)
+	defer cancel()
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	n.polls.begin(f.topic, interrupt)
+	ch.rows, ch.version, err = n.platform.Feed.Changes(ctx, f.topic, f.since, p.wait)
+	if err != nil && errors.Is(context.Cause(ctx), errStoreSuspected) {
+		return ch, errStoreSuspected
+	}
+	return ch, err
+}
+
+// polls holds the polls in flight.
+type polls struct {
+	mu       sync.Mutex
+	inFlight map[store.Topic]context.CancelCauseFunc // the latest of each topic, which may have ended
+}
+
+func (p *polls) begin(t store.Topic, interrupt context.CancelCauseFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inFlight == nil {
+		p.inFlight = make(map[store.Topic]context.CancelCauseFunc)
+	}
+	p.inFlight[t] = interrupt
+}
+
+// interruptOthers interrupts the polls for all topics but one, which are then repeated at once.
+func (p *polls) interruptOthers(t store.Topic) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for other, interrupt := range p.inFlight {
+		if other != t {
+			interrupt(errStoreSuspected)
+		}
+	}
+}
+
 // newestVersion returns the version of the newest row of a change. Unlike the version of the store, which grows with
 // the rows of other topics, it is the same for all nodes that have read the row.
 func newestVersion(ch change) uint64 {
@@ -77,16 +139,6 @@
 	return newest
 }
 
-// pollChanges polls once for a topic's changes, after a number of failed calls in a row.
-func (n *Node) pollChanges(
-	ctx context.Context, t store.Topic, since uint64, failures int,
-) ([]store.FeedRow, uint64, error) {
-	p := n.pollFor(t, failures)
-	ctx, cancel := context.WithTimeout(ctx, p.wait+p.margin)
-	defer cancel()
-	return n.platform.Feed.Changes(ctx, t, since, p.wait)
-}
-
 // poll holds the times of one poll.
 type poll struct {
 	wait   time.Duration // for which the store holds it if nothing changes
@@ -94,28 +146,35 @@
 }
 
 // pollFor returns the times of the next poll for a topic's changes.
-func (n *Node) pollFor(t store.Topic, failures int) poll {
-	settings := n.settings.Load()
-	switch t {
-	case store.Configuration:
-		return newPoll(settings.ApplyBound, configWaitDivisor, failures)
-	case store.Upstreams:
-		return newPoll(settings.DrainBound, listWaitDivisor, failures)
+func (n *Node) pollFor(f *follower) poll {
+	bound := n.changeBound()
+	p := poll{margin: callMargin(bound, f.failures)}
+	switch {
+	case f.isUrgent:
+	case f.topic == store.Configuration:
+		p.wait = configWait
+	case f.topic == store.Upstreams:
+		p.wait = bound / listWaitDivisor
+	default:
+		p.wait = nodesWait
 	}
-	return poll{wait: nodesWait, margin: maxMargin}
+	return p
 }
 
-// newPoll returns the times of a poll by which changes have to be known within a bound. After a failure the store is asked
-// for an immediate answer, and after several it has more time for that, as it may be slow.
-func newPoll(bound time.Duration, waitDivisor, failures int) poll {
-	p := poll{wait: bound / time.Duration(waitDivisor), margin: max(minMargin, bound/marginDivisor)}
-	if failures > 0 {
-		p.wait = 0
-	}
+// changeBound returns the shortest time within which a change in the store must take effect.
+func (n *Node) changeBound() time.Duration {
+	settings := n.settings.Load()
+	return min(settings.DrainBound, settings.ApplyBound)
+}
+
+// callMargin returns how long an answer of the store may take, after a number of failed calls in a row. It grows with these,
+// as the store may be slow.
+func callMargin(bound time.Duration, failures int) time.Duration {
+	margin := max(minMargin, bound/marginDivisor)
 	for range failures - 1 {
-		p.margin = max(p.margin, min(maxMargin, 2*p.margin))
+		margin = max(margin, min(maxMargin, 2*margin))
 	}
-	return p
+	return margin
 }
 
 // backoff returns the pause after a failed call that follows a number of failures in a row. A call without an answer may
@@ -133,7 +192,7 @@
 	case store.Configuration:
 		return 0
 	case store.Upstreams:
-		return listPause(n.settings.Load().DrainBound)
+		return listPause(n.changeBound())
 	case store.Nodes:
 		if time.Since(n.started) < startupTime {
 			return startupNodesPause
@@ -143,10 +202,10 @@
 	panic("entry: a topic without a pause")
 }
 
-// listPause returns the pause between polls for the list of upstreams, with which a node learns of a draining upstream
-// within the drain bound even if one call fails.
-func listPause(drain time.Duration) time.Duration {
-	return max(drain/shortestPauseDivisor, min(drain/longestPauseDivisor, drain-failedCallTime))
+// listPause returns the pause between polls for the list of upstreams, with which a node learns of changes within a bound
+// even if one call fails. These polls also show when connections to the store have gone silent.
+func listPause(bound time.Duration) time.Duration {
+	return max(bound/shortestPauseDivisor, min(bound/longestPauseDivisor, bound-failedCallTime))
 }
 
 // recordFailure records a failed call of the store.
@@ -253,7 +312,7 @@
 			peer, ok = mesh.Peer{Name: "seed", RPCAddress: seed, RulesVersion: 1}, true
 			seedAskedAt = time.Now()
 		}
-		lag.listPause = listPause(n.settings.Load().DrainBound)
+		lag.listPause = listPause(n.changeBound())
 		if !ok {
 			peer = mesh.Peer{RulesVersion: own.RulesVersion, ListVersion: own.ListVersion}
 		}
--- a/io/entry/follow_test.go
+++ b/io/entry/follow_test.go
@@ -63,25 +63,22 @@
 }
 
 // TestPollsLeaveTimeForAnother guards against polls whose connection has gone silent and which end too late for another one
-// within the bound.
+// within the bound on changes.
 func TestPollsLeaveTimeForAnother(t *testing.T) {
 	for _, bound := range []time.Duration{
 		600 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 7 * time.Second, 30 * time.Second,
 	} {
-		for _, tc := range []struct {
-			topic       string
-			waitDivisor int
-			pause       time.Duration
-		}{
-			{"configuration", configWaitDivisor, 0},
-			{"upstreams", listWaitDivisor, listPause(bound)},
-		} {
-			silent, next := newPoll(bound, tc.waitDivisor, 0), newPoll(bound, tc.waitDivisor, 1)
-			if next.wait != 0 {
-				t.Errorf("%s: the poll after a failed one waits for %v, want an immediate answer", tc.topic, next.wait)
-			}
-			if total := tc.pause + silent.wait + silent.margin + next.margin; total > bound {
-				t.Errorf("%s: %v until the second poll ends, want at most %v", tc.topic, total, bound)
+		for _, c := range []Config{{DrainBound: bound, ApplyBound: bound}, {DrainBound: 2 * bound, ApplyBound: bound},
+			{DrainBound: bound, ApplyBound: 2 * bound}} {
+			n := &Node{}
+			n.settings.Store(&c)
+			silent := n.pollFor(&follower{topic: store.Upstreams})
+			total := n.pauseFor(store.Upstreams) + silent.wait + silent.margin
+			for _, topic := range []store.Topic{store.Upstreams, store.Configuration} {
+				next := n.pollFor(&follower{topic: topic, failures: 1, isUrgent: true})
+				if end := total + next.wait + next.margin; end > bound {
+					t.Errorf("%v: %v until the second poll ends, want at most %v", topic, end, bound)
+				}
 			}
 		}
 	}
@@ -90,16 +87,16 @@
 // TestSlowStoreGetsMoreTime guards against polls that are all given up because the store is slow.
 func TestSlowStoreGetsMoreTime(t *testing.T) {
 	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 30 * time.Second} {
-		margin := time.Duration(0)
+		longest := time.Duration(0)
 		for failures := range 8 {
-			p := newPoll(bound, configWaitDivisor, failures)
-			if p.margin < margin {
-				t.Errorf("%v after %d failures, less than the %v before", p.margin, failures, margin)
+			margin := callMargin(bound, failures)
+			if margin < longest {
+				t.Errorf("%v after %d failures, less than the %v before", margin, failures, longest)
 			}
-			margin = p.margin
+			longest = margin
 		}
-		if margin < maxMargin {
-			t.Errorf("at most %v for an answer, want at least %v", margin, maxMargin)
+		if longest < maxMargin {
+			t.Errorf("at most %v for an answer, want at least %v", longest, maxMargin)
 		}
 	}
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -80,6 +80,7 @@
 	// storeReadBefore is the time of the answer before the latest.
 	storeReadBefore map[store.Topic]time.Time
 	outage          *fleet.Outage
+	polls           polls
 }
 
 // Option configures a Node.
@@ -195,12 +196,13 @@
 }
 
 // isConfigCurrent reports whether the configuration is known to be the newest, apart from changes so recent that they
-// need not be in force yet.
+// need not be in force yet. While the poll for it waits, the polls for the list show whether the store is reached.
 func (n *Node) isConfigCurrent() bool {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
 	return !n.storeFailing[store.Configuration] &&
-		time.Since(n.storeReadAt[store.Configuration]) < n.settings.Load().ApplyBound
+		time.Since(n.storeReadAt[store.Configuration]) < configWait+n.settings.Load().ApplyBound &&
+		time.Since(n.storeReadAt[store.Upstreams]) < n.settings.Load().ApplyBound
 }
 
 // isReady reports whether the node can serve: it is not stopping, and has a configuration and upstreams.
