Refuse a part of prompts that begins to crash upstreams in time

Cause: an answer made a part trusted for a minute, whatever happened after it, and a trusted part was condemned only by five moments of deaths more than a second apart: over 4 s, longer than the users allow. And an answer withdrew all marks when it ended, also if it had begun before the part crashed the first upstream. Class: evidence that outlives what it says.

Now an answer withdraws the marks set before it began. Trust ends when upstreams die of the part at five moments, the first 2.5 s ago, and no answer to it has begun since. The moments are 250 ms apart if requests without the part are answered meanwhile, else a second as before, since the whole fleet may be in trouble. So that sound parts are acquitted before that, an answer speaks for them after 2 s of writing, not at its end only.

TestPartThatBeginsToCrashIsRefused: 16 of 16 cases failed, with 4 to 46 late sends (3 allowed); all pass, with no sound part and no other request in quarantine. TestSoundPartsAreNotTakenForOnesThatBeginToCrash (flapping upstreams and a lost rack, answers of up to 2 s) passes; it did before too. All of io/mesh passes in one run.

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -10,28 +10,57 @@
 func (r *Registry) Completed(f Fingerprint) (Mark, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	rec := r.records[f]
 	if f.IsPart() {
-		r.usage.use(f, now).soundEnd = clearance{stamp: r.stamp(), at: now}
-	} else if rec != nil && rec.quarantineEnd.After(now) {
+		return r.acquit(f, r.stamp())
+	}
+	rec := r.records[f]
+	if rec == nil || rec.quarantineEnd.After(r.now()) {
 		return Mark{}, false
 	}
-	if rec == nil {
+	return r.clear(f, r.stamp()), true
+}
+
+// Stamp returns a stamp of now, which orders the begin of an answer and marks.
+func (r *Registry) Stamp() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stamp()
+}
+
+// Answered records an answer to a request with some parts that began at a stamp and did not crash its upstream. That
+// withdraws the marks that were set on the parts before. It returns the marks to send to the other nodes.
+func (r *Registry) Answered(parts []Fingerprint, begun uint64) []Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers.record(parts, r.now())
+	var marks []Mark
+	for _, f := range parts {
+		if m, ok := r.acquit(f, begun); ok {
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
+// acquit withdraws the marks of a part that were set before an answer to a request with it began. The caller holds the lock.
+func (r *Registry) acquit(f Fingerprint, begun uint64) (Mark, bool) {
+	use := r.usage.use(f, r.now())
+	use.soundEnd = clearance{stamp: max(begun, use.soundEnd.stamp), at: r.now()}
+	if r.records[f] == nil || begun <= r.cleared[f].stamp {
 		return Mark{}, false
 	}
-	return r.clear(f), true
+	return r.clear(f, begun), true
 }
 
 // Clear removes all suspicion of a request at an operator's request, and returns the mark to send to the other nodes.
 func (r *Registry) Clear(f Fingerprint) Mark {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clear(f)
+	return r.clear(f, r.stamp())
 }
 
-func (r *Registry) clear(f Fingerprint) Mark {
-	m := Mark{Fingerprint: f, Stamp: r.stamp(), Cleared: true}
+func (r *Registry) clear(f Fingerprint, stamp uint64) Mark {
+	m := Mark{Fingerprint: f, Stamp: stamp, Cleared: true}
 	r.applyClearance(m)
 	return m
 }
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -13,10 +13,15 @@
 	// partCrashesToQuarantine is the number of deaths for a part. It is higher, as a quarantine of a part concerns all
 	// requests that share it, and several of them run on the same upstream as a request that crashes it.
 	partCrashesToQuarantine = 4
-	// trustedMoments is the number of moments, apart by correlationWindow, at which upstreams must die of a part that has
-	// been answered of late.
+	// trustedMoments is the number of moments at which upstreams must die of a part that has been answered of late, with
+	// no answer to it that began later.
 	trustedMoments = 5
-	// trustTime is for how long a part with a complete answer explains no deaths.
+	// turnTime is how long ago the first of these must be, so that later answers have had time to speak for the part.
+	turnTime = 2500 * time.Millisecond
+	// turnInterval is the least time between two moments if requests without the part are answered. Otherwise
+	// correlationWindow applies, as the whole fleet may be in trouble.
+	turnInterval = 250 * time.Millisecond
+	// trustTime is for how long a part with an answer explains no deaths.
 	trustTime = time.Minute
 	// narrowerFactor is the ratio from which on one part counts as used by fewer requests than another.
 	narrowerFactor = 2
@@ -105,31 +110,53 @@
 			times = append(times, m.at)
 		}
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	if r.isTrusted(f, now) {
-		required, times = trustedMoments, moments(times)
-	}
-	if len(times) < required {
+	if len(times) < required || r.isTrusted(f, now) {
 		return time.Time{}, false
 	}
+	slices.SortFunc(times, time.Time.Compare)
 	return times[required-1].Add(r.settleTime), true
 }
 
-// moments returns the first of each run of times that are at most correlationWindow apart.
-func moments(times []time.Time) []time.Time {
-	var out []time.Time
+// countMoments returns the number of runs in sorted times that begin more than an interval after the one before.
+func countMoments(times []time.Time, interval time.Duration) int {
+	count := 0
+	var latest time.Time
 	for _, t := range times {
-		if len(out) == 0 || t.Sub(out[len(out)-1]) > correlationWindow {
-			out = append(out, t)
+		if count == 0 || t.Sub(latest) > interval {
+			count++
+			latest = t
 		}
 	}
-	return out
+	return count
 }
 
-// isTrusted reports whether a part was answered of late. A part that crashes upstreams never is.
+// isTrusted reports whether a part was answered of late and has not begun to crash upstreams since.
 func (r *Registry) isTrusted(f Fingerprint, now time.Time) bool {
 	c, ok := r.cleared[f]
-	return ok && f.IsPart() && now.Sub(c.at) < trustTime
+	return ok && f.IsPart() && now.Sub(c.at) < trustTime && !r.hasTurned(f, now)
+}
+
+// hasTurned reports whether upstreams die of a part again and again, and no answer to it has begun since.
+func (r *Registry) hasTurned(f Fingerprint, now time.Time) bool {
+	rec := r.records[f]
+	if rec == nil || len(rec.deaths) < trustedMoments {
+		return false
+	}
+	var times []time.Time
+	for _, d := range rec.deaths {
+		if at := d.marks[f].at; now.Sub(at) >= r.settleTime {
+			times = append(times, at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	if len(times) < trustedMoments || now.Sub(times[0]) < turnTime {
+		return false
+	}
+	interval := correlationWindow
+	if r.answers.hasWithout(f, times[0]) {
+		interval = turnInterval
+	}
+	return countMoments(times, interval) >= trustedMoments
 }
 
 // isExplained reports whether another suspect of the same death is the more likely cause of it.
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -80,6 +80,7 @@
 	// seenSweptAt is when old entries of seen were dropped last.
 	seenSweptAt time.Time
 	usage       usage
+	answers     answers
 	log         logr.Logger
 }
 
--- a/core/crash/usage.go
+++ b/core/crash/usage.go
@@ -1,6 +1,9 @@
 package crash
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Bounds of the record of parts in use.
 const (
@@ -47,3 +50,27 @@
 	}
 	return partUse{}
 }
+
+// answers holds the latest answers on this node, the oldest of which is replaced next.
+type answers struct {
+	latest [16]answer
+	next   int
+}
+
+// answer is an answer to a request with some parts.
+type answer struct {
+	at    time.Time
+	parts []Fingerprint
+}
+
+func (a *answers) record(parts []Fingerprint, now time.Time) {
+	a.latest[a.next] = answer{now, parts}
+	a.next = (a.next + 1) % len(a.latest)
+}
+
+// hasWithout reports whether there was an answer to a request without a part since a time.
+func (a *answers) hasWithout(part Fingerprint, since time.Time) bool {
+	return slices.ContainsFunc(a.latest[:], func(x answer) bool {
+		return x.at.After(since) && !slices.Contains(x.parts, part)
+	})
+}
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -33,7 +33,9 @@
 	release func()        // returns the buffer of body; may be nil
 
 	firstEventAt time.Time // when the first event arrived, or zero
+	begunStamp   uint64    // of the crash registry, before the answer began
 	wroteAnswer  bool      // the answer is a success and complete beyond doubt
+	hasAcquitted bool      // the answer has cleared the parts of the prompt
 
 	hasWon      bool // the current attempt has been canceled for it; guarded by run.mu
 	isAdopted   bool // it began beside another, and is now the one that the caller is served from; guarded by run.mu
@@ -43,7 +45,7 @@
 // newAttempt returns an attempt on reserved capacity, and logs it. It becomes the current one unless it is made beside a
 // silent one; then it returns nil if that is no longer the current one, or the route allows no more attempts.
 func (r *run) newAttempt(res *board.Reservation, silent *attempt) *attempt {
-	a := &attempt{run: r, reservation: res, startedAt: time.Now()}
+	a := &attempt{run: r, reservation: res, startedAt: time.Now(), begunStamp: r.executor.crashes.Stamp()}
 	a.ctx, a.cancel = context.WithCancelCause(r.ctx)
 	r.mu.Lock()
 	if silent != nil && (r.current != silent || r.isAnswered || r.mayHaveRun+r.running >= r.request.Route.MaxAttempts) {
@@ -149,7 +151,7 @@
 		return
 	}
 	if a.readErr == nil {
-		a.firstEventAt = time.Now()
+		a.firstEventAt, a.begunStamp = time.Now(), r.executor.crashes.Stamp()
 		r.executor.meter.Observe("first-event-us", a.firstEventAt.Sub(r.started))
 		a.reservation.PrefillDone()
 	}
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -17,6 +17,8 @@
 	Verdict(f crash.Fingerprint) crash.Verdict
 	RecordDeath(f crash.Fingerprint, upstream, dataCentre string, symptom crash.Symptom) (crash.Mark, bool)
 	Completed(f crash.Fingerprint) (crash.Mark, bool)
+	Stamp() uint64
+	Answered(parts []crash.Fingerprint, begun uint64) []crash.Mark
 }
 
 // reconnectTimeout is how long an upstream whose connection broke may take to accept another before it counts as dead.
@@ -111,8 +113,12 @@
 		"parts", r.request.describeParts(), "upstream", res.Upstream.ID, "symptom", symptom.String(), "marked", marked)
 }
 
-// maxCrashDelay is how long after the first event of an answer its upstream may crash of a part of the prompt.
-const maxCrashDelay = time.Second
+const (
+	// maxCrashDelay is how long after the first event of an answer its upstream may crash of a part of the prompt.
+	maxCrashDelay = time.Second
+	// acquitDelay is for how long an upstream must have written an answer for it to speak for the parts before its end.
+	acquitDelay = 2 * maxCrashDelay
+)
 
 // suspectsOfBreak returns what may have crashed an upstream that broke the connection, and the symptom. An answer that
 // had begun leaves only the parts of its prompt, and only for a moment.
@@ -129,12 +135,21 @@
 // clearSuspicion clears the suspicion of a request that was answered, and of its parts if an upstream wrote the answer
 // to its end.
 func (r *run) clearSuspicion(a *attempt) {
-	for _, f := range r.suspects {
-		if f != r.fingerprint && !a.wroteAnswer {
-			continue
-		}
-		if m, ok := r.executor.crashes.Completed(f); ok {
-			r.executor.broadcast(m)
-		}
+	if m, ok := r.executor.crashes.Completed(r.fingerprint); ok {
+		r.executor.broadcast(m)
+	}
+	if a.wroteAnswer {
+		r.acquitParts(a)
+	}
+}
+
+// acquitParts clears the suspicion of the parts of the prompt, once for an attempt.
+func (r *run) acquitParts(a *attempt) {
+	if a.hasAcquitted || len(r.request.PromptParts) == 0 {
+		return
+	}
+	a.hasAcquitted = true
+	for _, m := range r.executor.crashes.Answered(r.suspects[:len(r.suspects)-1], a.begunStamp) {
+		r.executor.broadcast(m)
 	}
 }
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"rhubarbspread/core/reply"
 )
@@ -30,6 +31,9 @@
 		}
 		r.recordEvent(e)
 		w.written()
+		if !a.hasAcquitted && time.Since(a.firstEventAt) >= acquitDelay {
+			r.acquitParts(a)
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		return r.complete(a)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -137,16 +137,12 @@
 		grant.Done(limit.Stopped, 0)
 		return false, err
 	}
-	before := len(rs.answer.texts)
+	before, begun := len(rs.answer.texts), rs.relay.crashes.Stamp()
 	outcome, result := rs.generate(ctx, grant)
 	grant.Done(result, len(rs.answer.texts)-before)
 	rs.summary.Add(outcome)
 	if _, ok := outcome.(reply.Done); ok {
-		for _, f := range rs.request.suspects() {
-			if m, ok := rs.relay.crashes.Completed(f); ok {
-				rs.relay.sendMark(m)
-			}
-		}
+		rs.clearSuspicion(begun)
 		return true, nil
 	}
 	return false, rs.afterFailure(ctx, &failure{
@@ -158,6 +154,19 @@
 	})
 }
 
+// clearSuspicion clears the suspicion of a request that was answered, and that of its messages, by an answer that began at a
+// stamp.
+func (rs *requestState) clearSuspicion(begun uint64) {
+	suspects := rs.request.suspects()
+	marks := rs.relay.crashes.Answered(suspects[:len(suspects)-1], begun)
+	if m, ok := rs.relay.crashes.Completed(rs.request.fingerprint); ok {
+		marks = append(marks, m)
+	}
+	for _, m := range marks {
+		rs.relay.sendMark(m)
+	}
+}
+
 // demand returns what the request asks of the pool, with the restrictions that crash detection puts on it.
 func (rs *requestState) demand() (limit.Demand, error) {
 	q := rs.request
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -178,6 +178,32 @@
 	}
 }
 
+// TestSoundPartsAreNotTakenForOnesThatBeginToCrash guards against quarantines of parts that are answered, whose upstreams die
+// for other reasons.
+func TestSoundPartsAreNotTakenForOnesThatBeginToCrash(t *testing.T) {
+	for _, answerTime := range []time.Duration{200 * time.Millisecond, time.Second, 2 * time.Second} {
+		for _, nodes := range []int{3, 9, crasherNodes} {
+			t.Run(fmt.Sprintf("%d nodes, answers of %v", nodes, answerTime), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newCrasherFleet(t, nodes, 1)
+					f.answerTime = answerTime
+					traffic := &partTraffic{fleet: f}
+					f.run(20*time.Second, func(elapsed time.Duration) {
+						flap(f, elapsed)
+						loseRack(f, elapsed)
+						traffic.tick()
+						if elapsed%time.Second == 0 {
+							f.checkParts()
+						}
+					})
+					f.checkParts()
+				})
+			})
+		}
+	}
+}
+
 // TestPartThatBeginsToCrashIsRefused guards against requests that are sent on though upstreams die of a part that was answered
 // for a while before.
 func TestPartThatBeginsToCrashIsRefused(t *testing.T) {
@@ -218,6 +244,7 @@
 					f.checkSends()
 					f.checkSound()
 					f.checkParts()
+					f.checkOthers()
 				})
 			})
 		}
