Fetch from another node if the newest one can't be reached

A node that the store doesn't answer fetches the configuration and the list from the node with the newest ones. A node from which a fetch has failed in the last 2 s now comes last.

TestUnreachablePeerIsNotAskedAgainAtOnce does not build on the code before, which has no memory of failed fetches.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -108,6 +109,7 @@
 	latest        *wire.Digest // of any scope
 	ownDigest     *wire.Digest // of the node alone
 	ownReceivedAt time.Time
+	fetchFailedAt time.Time // zero if the latest fetch from it succeeded
 }
 
 // New returns a Mesh that Run starts; storeState returns the store's data that the node has, listedNodes the other
@@ -354,21 +356,50 @@
 const peerTTL = 2 * time.Second
 
 // NewerPeer returns the live node with the newest configuration and list, if it has a newer configuration or list than
-// the given versions.
+// the given versions. A node from which a fetch has just failed is returned only if there is no other.
 func (m *Mesh) NewerPeer(rulesVersion, listVersion uint64) (Peer, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var newest Peer
+	var newest *peerState
 	for _, s := range m.peers {
 		if time.Since(s.LastSeen) > peerTTL || s.RulesVersion <= rulesVersion && s.ListVersion <= listVersion {
 			continue
 		}
-		if newest.Name == "" || s.RulesVersion > newest.RulesVersion ||
-			s.RulesVersion == newest.RulesVersion && s.ListVersion > newest.ListVersion {
-			newest = s.Peer
+		if newest == nil || s.compareForFetch(newest) > 0 {
+			newest = s
+		}
+	}
+	if newest == nil {
+		return Peer{}, false
+	}
+	return newest.Peer, true
+}
+
+// compareForFetch returns a positive number if a node is a better one to fetch from than another.
+func (s *peerState) compareForFetch(other *peerState) int {
+	reachable := func(s *peerState) int {
+		if time.Since(s.fetchFailedAt) <= peerTTL {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(reachable(s), reachable(other)), cmp.Compare(s.RulesVersion, other.RulesVersion),
+		cmp.Compare(s.ListVersion, other.ListVersion))
+}
+
+// recordFetch records the result of a fetch from the node at an address.
+func (m *Mesh) recordFetch(address string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.peers {
+		if s.RPCAddress != address {
+			continue
+		}
+		s.fetchFailedAt = time.Time{}
+		if err != nil {
+			s.fetchFailedAt = time.Now()
 		}
 	}
-	return newest, newest.Name != ""
 }
 
 // LiveNodeHashes returns the hashes of the names of the other live nodes in this node's data centre.
@@ -404,6 +435,12 @@
 // Fetch requests the data that is newer than the given state from the node at an address, and the rows of the nodes if
 // the state has none.
 func (m *Mesh) Fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
+	fetched, err := fetch(ctx, address, own)
+	m.recordFetch(address, err)
+	return fetched, err
+}
+
+func fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d net.Dialer
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -294,6 +295,31 @@
 	})
 }
 
+// TestUnreachablePeerIsNotAskedAgainAtOnce guards against fetches from the newest node alone, although it can't be reached.
+func TestUnreachablePeerIsNotAskedAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 5, "a")
+		for i, m := range g.nodes {
+			m.config.RPCAddress = fmt.Sprintf("10.0.0.%d:80", i)
+		}
+		g.deliver(1)
+		m := g.nodes[0]
+		newest, _ := m.NewerPeer(0, 0)
+		m.recordFetch(newest.RPCAddress, errors.New("connection refused"))
+		if p, ok := m.NewerPeer(0, 0); !ok || p.Name == newest.Name {
+			t.Errorf("%q after a fetch from it failed, want another node", p.Name)
+		}
+		if p, ok := m.NewerPeer(newest.RulesVersion-1, 0); !ok || p.Name != newest.Name {
+			t.Errorf("%q, want the only node with a newer configuration", p.Name)
+		}
+		time.Sleep(peerTTL + time.Millisecond)
+		g.deliver(2)
+		if p, _ := m.NewerPeer(0, 0); p.Name != newest.Name {
+			t.Errorf("%q some time after the failure, want the newest node", p.Name)
+		}
+	})
+}
+
 func TestNewsHasOnlyWhatIsNewer(t *testing.T) {
 	m := New(Config{Node: "n"}, board.New(), func() StoreState {
 		return StoreState{
