--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -19,7 +18,6 @@
 
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -27,7 +25,6 @@
 // Times of the mesh, and the factor of its units.
 const (
 	gossipPeriod = 150 * time.Millisecond // between datagrams to one node
-	fetchTimeout = 800 * time.Millisecond
 	// failureLogPeriod is the least time between log lines on datagrams that can't be sent.
 	failureLogPeriod = time.Second
 	thousand         = 1000 // claims are sent in thousands of tokens times layers, slowdowns in thousandths
@@ -355,53 +352,6 @@
 // peerTTL is how long after its latest datagram a node counts as alive.
 const peerTTL = 2 * time.Second
 
-// NewerPeer returns the live node with the newest configuration and list, if it has a newer configuration or list than
-// the given versions. A node from which a fetch has just failed is returned only if there is no other.
-func (m *Mesh) NewerPeer(rulesVersion, listVersion uint64) (Peer, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var newest *peerState
-	for _, s := range m.peers {
-		if time.Since(s.LastSeen) > peerTTL || s.RulesVersion <= rulesVersion && s.ListVersion <= listVersion {
-			continue
-		}
-		if newest == nil || s.compareForFetch(newest) > 0 {
-			newest = s
-		}
-	}
-	if newest == nil {
-		return Peer{}, false
-	}
-	return newest.Peer, true
-}
-
-// compareForFetch returns a positive number if a node is a better one to fetch from than another.
-func (s *peerState) compareForFetch(other *peerState) int {
-	reachable := func(s *peerState) int {
-		if time.Since(s.fetchFailedAt) <= peerTTL {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(reachable(s), reachable(other)), cmp.Compare(s.RulesVersion, other.RulesVersion),
-		cmp.Compare(s.ListVersion, other.ListVersion))
-}
-
-// recordFetch records the result of a fetch from the node at an address.
-func (m *Mesh) recordFetch(address string, err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, s := range m.peers {
-		if s.RPCAddress != address {
-			continue
-		}
-		s.fetchFailedAt = time.Time{}
-		if err != nil {
-			s.fetchFailedAt = time.Now()
-		}
-	}
-}
-
 // LiveNodeHashes returns the hashes of the names of the other live nodes in this node's data centre.
 func (m *Mesh) LiveNodeHashes() []uint32 {
 	m.mu.Lock()
@@ -431,72 +381,3 @@
 	}
 	return false
 }
-
-// Fetch requests the data that is newer than the given state from the node at an address, and the rows of the nodes if
-// the state has none.
-func (m *Mesh) Fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
-	fetched, err := fetch(ctx, address, own)
-	m.recordFetch(address, err)
-	return fetched, err
-}
-
-func fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var d net.Dialer
-	tcp, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return StoreState{}, err
-	}
-	conn := drpcconn.New(tcp)
-	defer conn.Close()
-	reply, err := wire.NewDRPCMeshClient(conn).News(ctx, &wire.NewsRequest{
-		Rules: own.RulesVersion, List: own.ListVersion, LacksNodes: len(own.NodeRows) == 0,
-	})
-	if err != nil {
-		return StoreState{}, err
-	}
-	return StoreState{
-		RawRules: reply.GetConfiguration(), ListVersion: reply.GetList(), Rows: decodeRows(reply.GetEntries()),
-		NodeRows: decodeRows(reply.GetNodes()),
-	}, nil
-}
-
-func decodeRows(entries []*wire.Entry) []store.FeedRow {
-	var rows []store.FeedRow
-	for _, e := range entries {
-		rows = append(rows, store.FeedRow{Key: e.GetId(), Value: e.GetValue()})
-	}
-	return rows
-}
-
-func encodeRows(rows []store.FeedRow) []*wire.Entry {
-	var entries []*wire.Entry
-	for _, row := range rows {
-		entries = append(entries, &wire.Entry{Id: row.Key, Value: row.Value})
-	}
-	return entries
-}
-
-// server serves the RPCs of other nodes.
-type server struct {
-	wire.DRPCMeshUnimplementedServer
-	mesh *Mesh
-}
-
-// News returns the data that is newer here than the versions in the request.
-func (s *server) News(_ context.Context, in *wire.NewsRequest) (*wire.NewsReply, error) {
-	state := s.mesh.storeState()
-	out := &wire.NewsReply{}
-	if state.RulesVersion > in.GetRules() {
-		out.Configuration = state.RawRules
-	}
-	if state.ListVersion > in.GetList() {
-		out.List = state.ListVersion
-		out.Entries = encodeRows(state.Rows)
-	}
-	if in.GetLacksNodes() {
-		out.Nodes = encodeRows(state.NodeRows)
-	}
-	return out, nil
-}
