Leave upstreams alone that ask for rest

Cause: no code read Retry-After of a refusal. A refusal ejected the upstream for 0.1 s, doubled up to 1 s; the next request then probed it, an answer of a request in flight ended the ejection, and where all were ejected one was tried all the same. Class: what the other side states is not part of the state on which requests are placed, as with the limits before.

Now the time that an upstream names is kept for its incarnation, and nothing ends it earlier. Every choice of an upstream leaves it out, reports and orders too. A request that only resting upstreams could serve is refused at once with a Retry-After of that time.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -45,6 +45,7 @@
 	silentSince  time.Time // since when it has not answered in time, or zero
 	lastSilentAt time.Time // of the latest silence
 	refusals     int       // consecutive refusals
+	restUntil    time.Time // until which it wants no requests from this node
 	// refusedPeers is how many other nodes reported a refusal by it, the latest at refusedPeersAt.
 	refusedPeers       int
 	refusedPeersAt     time.Time
@@ -73,7 +74,8 @@
 	partitions    map[string]*partition
 	nodes         int            // nodes that share the links between data centres, with this one
 	sharers       *pacer.Sharers // of upstreams' limits
-	limitWake     *time.Timer    // wakes the requests that wait for an upstream's limit, or nil
+	wakeTimer     *time.Timer    // wakes the requests that wait for an upstream's limit or the end of its rest, or nil
+	wakeAt        time.Time      // when wakeTimer fires
 	log           logr.Logger
 	linkBudgets   map[Key]*linkBudget // this node's budget on each link
 	isOwnFault    func() bool         // this node, rather than an upstream, may be at fault for a failure
@@ -128,7 +130,7 @@
 			continue
 		}
 		u := list.Get(k.ID)
-		if (u == nil || u.Incarnation != k.Incarnation) && s.inFlight == 0 && s.firstStage == 0 {
+		if (u == nil || u.Incarnation != k.Incarnation) && s.inFlight == 0 && s.firstStage == 0 && !s.isResting(b.now()) {
 			delete(b.states, k)
 		}
 	}
--- a/core/board/limit.go
+++ b/core/board/limit.go
@@ -90,18 +90,28 @@
 	return ok && wait == 0
 }
 
-// minLimitWake is the shortest time after which requests that wait for a limit are woken.
-const minLimitWake = 5 * time.Millisecond
+// minWake is the shortest time after which requests that wait for capacity are woken by a timer.
+const minWake = 5 * time.Millisecond
 
-// wakeIn wakes the requests that wait for capacity after some time, unless they will be woken for a limit before.
+// wakeIn wakes the requests that wait for capacity after some time, unless a timer will wake them before.
 func (b *Board) wakeIn(wait time.Duration) {
-	if b.limitWake != nil {
-		return
+	wait = max(wait, minWake)
+	at := b.now().Add(wait)
+	if b.wakeTimer != nil {
+		if !at.Before(b.wakeAt) {
+			return
+		}
+		b.wakeTimer.Stop()
 	}
-	b.limitWake = time.AfterFunc(max(wait, minLimitWake), func() {
+	b.wakeAt = at
+	var timer *time.Timer
+	timer = time.AfterFunc(wait, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.limitWake = nil
+		if b.wakeTimer == timer {
+			b.wakeTimer = nil
+		}
 		b.wakeWaiters()
 	})
+	b.wakeTimer = timer
 }
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -48,7 +48,7 @@
 const errorQueueEquivalent = 12
 
 // ReservePlain reserves the upstream of a plain service with the shortest expected wait. If no other could be picked, it
-// picks an ejected one; it returns nil if all are full.
+// picks an ejected one; it returns nil if all are full or want rest.
 func (b *Board) ReservePlain(list []*fleet.Upstream, exclude []string) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -60,7 +60,7 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if !b.withinLimit(s, now) {
+		if b.isWithheld(s, now) || !b.withinLimit(s, now) {
 			continue
 		}
 		if b.isExcluded(u, s, now) {
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -231,6 +231,9 @@
 		if res := r.tryReserve(r.excluded()); res != nil {
 			return res, nil
 		}
+		if wait := r.restWait(); wait > maxCapacityWait {
+			return nil, r.restRefusal(wait)
+		}
 		select {
 		case <-freed:
 		case <-until.C:
@@ -251,6 +254,22 @@
 	return r.executor.board.ReservePath(list, r.need(exclude))
 }
 
+// restWait returns after how long upstreams that want rest can serve the request, if no others can, or 0.
+func (r *run) restWait() time.Duration {
+	service := r.request.Service
+	return r.executor.board.RestWait(r.executor.fleet.Upstreams(service.Name), service.Engine, r.excluded())
+}
+
+// restRefusal returns the refusal of a request that no upstream can serve for some time.
+func (r *run) restRefusal(wait time.Duration) error {
+	err := r.refusal("the upstreams that could serve it want no requests for " + wait.Round(time.Millisecond).String())
+	var refusal *Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		refusal.RetryAfter += wait
+	}
+	return err
+}
+
 // need returns the requirements of a generation on its path.
 func (r *run) need(exclude []string) *board.Need {
 	return &board.Need{
@@ -308,7 +327,7 @@
 	panic(fmt.Sprintf("proxy: unexpected outcome type %T", o))
 }
 
-// exchange sends an attempt, and records the limit on requests that the answer names.
+// exchange sends an attempt, and records the limit on requests and the rest that the answer names.
 func (r *run) exchange(ctx context.Context, s *Send) (*Answer, error) {
 	sentAt := time.Now()
 	a, err := r.executor.transport.Send(ctx, s)
@@ -325,6 +344,14 @@
 	case a.Sealed || a.NotRun: // any other answer may not be the upstream's own
 		r.executor.board.RecordNoLimit(s.Upstream, sentAt)
 	}
+	switch rest := a.Rest; {
+	case a.IDMismatch || !a.Sealed && !a.NotRun:
+	case rest.Unreadable:
+		r.executor.log.Info("rest-unreadable", "request", r.request.ID, "upstream", s.Upstream.ID)
+	case rest.For > 0:
+		r.executor.meter.Count("answers-with-rest")
+		r.executor.board.RecordRest(s.Upstream, rest.For)
+	}
 	return a, nil
 }
 
--- a/core/proxy/stall.go
+++ b/core/proxy/stall.go
@@ -130,7 +130,11 @@
 		return
 	}
 	r, res := w.run, w.reservation
-	report, err := r.executor.reports.get(w.attempt.ctx, res.Upstream)
+	var report place.Report
+	var err error
+	if !r.executor.board.IsResting(res.Upstream) {
+		report, err = r.executor.reports.get(w.attempt.ctx, res.Upstream)
+	}
 	if now, running := w.silence(); !running || now < silent {
 		return // an event arrived meanwhile and restarted the timer
 	}
@@ -233,6 +237,9 @@
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
 	failed := []string{u.ID}
+	if r.executor.board.IsResting(res.Upstream) {
+		return errFirstStageRests
+	}
 	for range maxBypassAttempts {
 		before, ok := res.Bypass(r.executor.fleet.Upstreams(r.request.Service.Name), r.need(r.excluded()), failed)
 		if !ok {
@@ -263,7 +270,10 @@
 	return nil
 }
 
-var errNoBypass = errors.New("no other upstream has the layers and room")
+var (
+	errNoBypass        = errors.New("no other upstream has the layers and room")
+	errFirstStageRests = errors.New("the first stage wants no requests now")
+)
 
 // stalledStage returns the stage that the request waits for according to a report, or nil.
 func (r *run) stalledStage(res *board.Reservation, report place.Report) *fleet.Upstream {
--- a/core/proxy/types.go
+++ b/core/proxy/types.go
@@ -68,6 +68,13 @@
 	FailedAddress string // address of the stage at fault, or ""
 	Load          *Load  // nil if not reported
 	RequestLimit  RequestLimit
+	Rest          Rest
+}
+
+// Rest is what a refusal says about the time for which its upstream wants no requests from this node.
+type Rest struct {
+	For        time.Duration // 0 if none is named
+	Unreadable bool          // the refusal names something that is no time
 }
 
 // RequestLimit is what an answer says about the requests that its upstream takes from all nodes together.
--- a/io/entry/health.go
+++ b/io/entry/health.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/pacer"
+	"rhubarbspread/core/place"
 	"rhubarbspread/io/mesh"
 )
 
@@ -25,6 +27,9 @@
 		start := time.Now()
 		var fetches sync.WaitGroup
 		for _, u := range n.assignedUpstreams() {
+			if n.board.IsResting(u) {
+				continue
+			}
 			fetches.Add(1)
 			go func() {
 				defer fetches.Done()
@@ -83,3 +88,19 @@
 	}
 	return true
 }
+
+var errResting = errors.New("the upstream wants no requests now")
+
+// restfulEngines asks no upstream for a report that wants rest. The planner sends no order without a report before it.
+type restfulEngines struct {
+	place.Engines
+	board *board.Board
+}
+
+// Report returns an upstream's report, or an error while it wants rest.
+func (e restfulEngines) Report(ctx context.Context, u *fleet.Upstream) (place.Report, error) {
+	if e.board.IsResting(u) {
+		return place.Report{}, errResting
+	}
+	return e.Engines.Report(ctx, u)
+}
