Don't send one request after the other over connections to an upstream that went silent

Open connections to an upstream can go silent for good while new ones work. A call without an answer closed its own connection only; the next one took another kept connection, silent as well, and waited again.

TestSilentConnectionIsNotFollowedByOthers: the other idle connection was kept before, and is closed now.

--- a/io/hop/relayed.go
+++ b/io/hop/relayed.go
@@ -28,17 +28,22 @@
 // isOldRelayed reports whether a relay has passed the connection on for so long that it may be about to stop.
 func (c *conn) isOldRelayed() bool { return c.relay != "" && time.Since(c.openedAt) > maxRelayedAge }
 
-// fail closes the connection after an error, and draws the conclusions about others like it: a direct one is reported; if one
-// through a relay was too slow, the idle ones through the same relay are closed, as the relay may hang.
+// fail closes the connection after an error, and draws the conclusions about others like it: a direct one is reported, and if
+// it gave no answer the idle ones to the same upstream are closed, as they may have gone silent too; if one through a relay was
+// too slow, the idle ones through the same relay are closed, as the relay may hang.
 func (x *exchange) fail() {
 	x.abort()
+	wasGivenUp, isLong := x.ctx.Err() != nil, time.Since(x.startedAt) >= unansweredTime
 	hasCallerLeft := errors.Is(context.Cause(x.ctx), context.Canceled)
 	relay := x.conn.relay
 	switch {
-	case hasCallerLeft && (x.isAnswered || time.Since(x.startedAt) < unansweredTime):
+	case hasCallerLeft && (x.isAnswered || !isLong):
 	case relay == "":
+		if wasGivenUp && isLong && !x.isAnswered {
+			x.pool.closeIdle(func(cn *conn) bool { return cn.relay == "" && cn.target == x.conn.target })
+		}
 		x.pool.onUnanswered(x.conn.target)
-	case x.ctx.Err() != nil:
+	case wasGivenUp:
 		x.pool.closeIdle(func(cn *conn) bool { return cn.relay == relay })
 	}
 }
--- a/io/hop/relayed_test.go
+++ b/io/hop/relayed_test.go
@@ -174,3 +174,58 @@
 		})
 	}
 }
+
+// TestSilentConnectionIsNotFollowedByOthers guards against one request after the other over kept connections to an upstream
+// that have all gone silent.
+func TestSilentConnectionIsNotFollowedByOthers(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wait time.Duration // until the call ends without an answer
+		want bool          // the other idle connection is kept
+	}{
+		{"no answer in time", 2 * unansweredTime, false},
+		{"given up soon", unansweredTime / 10, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			release := make(chan bool)
+			defer close(release)
+			const idle = 2
+			arrived := make(chan bool, idle)
+			proceed := make(chan bool)
+			s := serve(t, func(n int64) (string, bool) {
+				if n > idle {
+					<-release
+				}
+				arrived <- true
+				<-proceed
+				return answerTo("1", "yes"), false
+			})
+			p := newPool()
+			done := make(chan error, idle)
+			for range idle {
+				go func() {
+					_, err := do(t, p, s.call("1"))
+					done <- err
+				}()
+			}
+			for range idle {
+				<-arrived
+			}
+			close(proceed)
+			for range idle {
+				if err := <-done; err != nil {
+					t.Fatal(err)
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			time.AfterFunc(test.wait, cancel)
+			if _, err := p.Do(ctx, s.call("1")); err == nil {
+				t.Fatal("an answer over a silent connection")
+			}
+			if got := p.HasIdle(s.call("1").Target); got != test.want {
+				t.Errorf("the other idle connection is kept: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
