Let answers at any node and fewer moments decide that a part has begun to crash upstreams

Now an answer at any node counts that began after the first death: it withdraws marks of other parts, which all nodes hear. And five deaths at three moments, 400 ms apart, suffice if others are answered; without such answers five moments a second apart are needed as before.

--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -13,14 +13,16 @@
 	// partCrashesToQuarantine is the number of deaths for a part. It is higher, as a quarantine of a part concerns all
 	// requests that share it, and several of them run on the same upstream as a request that crashes it.
 	partCrashesToQuarantine = 4
-	// trustedMoments is the number of moments at which upstreams must die of a part that has been answered of late, with
-	// no answer to it that began later.
-	trustedMoments = 5
+	// trustedCrashes is the number of deaths, with no answer to it that began later, from which on a part may be condemned
+	// that has been answered of late.
+	trustedCrashes = 5
 	// turnTime is how long ago the first of these must be, so that later answers have had time to speak for the part.
 	turnTime = 2500 * time.Millisecond
-	// turnInterval is the least time between two moments if requests without the part are answered. Otherwise
-	// correlationWindow applies, as the whole fleet may be in trouble.
-	turnInterval = 250 * time.Millisecond
+	// The deaths must come at turnMoments, turnInterval apart, if requests without the part are answered meanwhile. Otherwise
+	// they must come at troubledMoments, correlationWindow apart, as the whole fleet may be in trouble.
+	turnMoments     = 3
+	turnInterval    = 400 * time.Millisecond
+	troubledMoments = 5
 	// trustTime is for how long a part with an answer explains no deaths.
 	trustTime = time.Minute
 	// narrowerFactor is the ratio from which on one part counts as used by fewer requests than another.
@@ -139,24 +141,43 @@
 // hasTurned reports whether upstreams die of a part again and again, and no answer to it has begun since.
 func (r *Registry) hasTurned(f Fingerprint, now time.Time) bool {
 	rec := r.records[f]
-	if rec == nil || len(rec.deaths) < trustedMoments {
+	if rec == nil || len(rec.deaths) < trustedCrashes {
 		return false
 	}
 	var times []time.Time
+	var first deathMark
 	for _, d := range rec.deaths {
-		if at := d.marks[f].at; now.Sub(at) >= r.settleTime {
-			times = append(times, at)
+		m := d.marks[f]
+		if now.Sub(m.at) < r.settleTime {
+			continue
+		}
+		if len(times) == 0 || m.at.Before(first.at) {
+			first = m
 		}
+		times = append(times, m.at)
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	if len(times) < trustedMoments || now.Sub(times[0]) < turnTime {
+	if len(times) < trustedCrashes || now.Sub(first.at) < turnTime {
 		return false
 	}
-	interval := correlationWindow
-	if r.answers.hasWithout(f, times[0]) {
-		interval = turnInterval
+	slices.SortFunc(times, time.Time.Compare)
+	if r.isOtherAnswered(f, first) {
+		return countMoments(times, turnInterval) >= turnMoments
+	}
+	return countMoments(times, correlationWindow) >= troubledMoments
+}
+
+// isOtherAnswered reports whether requests without a part have been answered since a death: on this node, or on any by an answer
+// that began later. Had that been to a request with the part, it would have withdrawn the mark.
+func (r *Registry) isOtherAnswered(f Fingerprint, since deathMark) bool {
+	if r.answers.hasWithout(f, since.at) {
+		return true
+	}
+	for g, c := range r.cleared {
+		if g != f && g.IsPart() && c.stamp > since.Stamp {
+			return true
+		}
 	}
-	return countMoments(times, interval) >= trustedMoments
+	return false
 }
 
 // isExplained reports whether another suspect of the same death is the more likely cause of it.
--- a/io/entry/health.go
+++ b/io/entry/health.go
@@ -91,14 +91,14 @@
 
 var errResting = errors.New("the upstream wants no requests now")
 
-// restfulEngines asks no upstream for a report that wants rest. The planner sends no order without a report before it.
-type restfulEngines struct {
+// restAwareEngines fetches no report of an upstream that wants rest, and so keeps the planner from sending it orders.
+type restAwareEngines struct {
 	place.Engines
 	board *board.Board
 }
 
 // Report returns an upstream's report, or an error while it wants rest.
-func (e restfulEngines) Report(ctx context.Context, u *fleet.Upstream) (place.Report, error) {
+func (e restAwareEngines) Report(ctx context.Context, u *fleet.Upstream) (place.Report, error) {
 	if e.board.IsResting(u) {
 		return place.Report{}, errResting
 	}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -124,7 +124,7 @@
 		Budget: n.budget, Crashes: n.crashes, Broadcast: n.mesh.BroadcastMark, Meter: n.stats, Log: n.log,
 	})
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
-	n.planner = place.NewPlanner(restfulEngines{n.engines, n.board}, n.lease.Valid, n.log)
+	n.planner = place.NewPlanner(restAwareEngines{n.engines, n.board}, n.lease.Valid, n.log)
 	n.stats.Gauge("requests-active", func() any { return n.activeRequests.Load() })
 	n.stats.Gauge("quarantines", func() any { return len(n.crashes.List()) })
 	n.stats.Gauge("limited-upstreams", func() any { return n.board.LimitedUpstreams() })
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -204,9 +204,8 @@
 	}
 }
 
-// TestPartThatBeginsToCrashIsRefused guards against requests that are sent on though upstreams die of a part that was answered
-// for a while before.
-func TestPartThatBeginsToCrashIsRefused(t *testing.T) {
+// playTurningPart plays traffic with a part that is answered for a while and then crashes what runs it, and checks each case.
+func playTurningPart(t *testing.T, check func(*crasherFleet)) {
 	const (
 		soundTime      = 6 * time.Second
 		crashTime      = 20 * time.Second
@@ -221,6 +220,7 @@
 	}{
 		{"a fifth of the traffic", crasherNodes, 13, 200 * time.Millisecond, nil},
 		{"a fifth of the traffic, few nodes", 9, 13, 200 * time.Millisecond, nil},
+		{"a third of the traffic", crasherNodes, 30, 200 * time.Millisecond, nil},
 		{"four requests a second", crasherNodes, 4, 200 * time.Millisecond, nil},
 		{"one request a second", crasherNodes, 1, 200 * time.Millisecond, nil},
 		{"three nodes", 3, 4, 200 * time.Millisecond, nil},
@@ -241,12 +241,24 @@
 						}
 						traffic.tick()
 					})
-					f.checkSends()
-					f.checkSound()
-					f.checkParts()
-					f.checkOthers()
+					check(f)
 				})
 			})
 		}
 	}
 }
+
+// TestPartThatBeginsToCrashIsRefused guards against requests that are sent on though upstreams die of a part that was answered
+// for a while before, and against sound parts and callers that pay for it.
+func TestPartThatBeginsToCrashIsRefused(t *testing.T) {
+	playTurningPart(t, func(f *crasherFleet) {
+		f.checkSends()
+		f.checkSound()
+		f.checkParts()
+	})
+}
+
+// TestPartThatBeginsToCrashBlamesNoOther guards against innocent requests in quarantine beside such a part.
+func TestPartThatBeginsToCrashBlamesNoOther(t *testing.T) {
+	playTurningPart(t, (*crasherFleet).checkOthers)
+}
