Remember for a moment whether a part has begun to crash upstreams

A verdict asks that for each part at each death. The line quarantine says whether its suspect was answered before.

--- a/core/crash/bench_test.go
+++ b/core/crash/bench_test.go
@@ -49,3 +49,29 @@
 		r.Acquittals()
 	}
 }
+
+// BenchmarkVerdictOnTrustedPart measures a verdict on a part that was answered of late, among deaths of many such parts.
+func BenchmarkVerdictOnTrustedPart(b *testing.B) {
+	const deaths, requests = 50, 15
+	stamp := uint64(0)
+	now := time.Unix(1000, 0)
+	r := crash.NewRegistry(func() time.Time { return now }, func() uint64 { stamp++; return stamp }, time.Hour)
+	var parts []crash.Fingerprint
+	for i := range 6 {
+		parts = append(parts, crash.NewPartFingerprint("s", fmt.Sprint("part-", i)))
+	}
+	r.Answered(parts, r.Stamp())
+	for i := range deaths {
+		now = now.Add(50 * time.Millisecond)
+		for j := range requests {
+			r.RecordDeath(crash.Fingerprint(fmt.Sprint(i, "-", j)), fmt.Sprint("u", i), "dc", crash.BrokeBeforeFirstToken)
+		}
+		for _, part := range parts {
+			r.RecordDeath(part, fmt.Sprint("u", i), "dc", crash.BrokeBeforeFirstToken)
+		}
+	}
+	now = now.Add(time.Second)
+	for b.Loop() {
+		r.Verdict(parts[0])
+	}
+}
--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -94,6 +94,7 @@
 		return true
 	})
 	rec.weigh(f)
+	rec.turnCheckedAt = time.Time{}
 	if len(rec.deaths) == 0 {
 		delete(r.records, f)
 	}
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -23,6 +23,9 @@
 	turnMoments     = 3
 	turnInterval    = 400 * time.Millisecond
 	troubledMoments = 5
+	// turnCheckInterval is for how long it is remembered whether a part has begun to crash upstreams: a verdict asks for each
+	// part at each death.
+	turnCheckInterval = 50 * time.Millisecond
 	// trustTime is for how long a part with an answer explains no deaths.
 	trustTime = time.Minute
 	// narrowerFactor is the ratio from which on one part counts as used by fewer requests than another.
@@ -42,7 +45,7 @@
 			rec.quarantineEnd = since.Add(r.quarantine * time.Duration(1+rec.prolonged))
 			if rec.quarantineEnd.After(now) {
 				r.log.Info("quarantine", "fingerprint", string(f), "upstreams", strings.Join(rec.upstreams(), " "),
-					"for-ms", r.quarantine.Milliseconds())
+					"for-ms", r.quarantine.Milliseconds(), "answered-before", r.cleared[f].stamp > 0)
 			}
 		}
 		if r.isStillAskedFor(rec, now) {
@@ -144,6 +147,14 @@
 	if rec == nil || len(rec.deaths) < trustedCrashes {
 		return false
 	}
+	if rec.turnCheckedAt.IsZero() || now.Sub(rec.turnCheckedAt) >= turnCheckInterval {
+		rec.turnCheckedAt, rec.hasTurned = now, r.checkTurn(f, rec, now)
+	}
+	return rec.hasTurned
+}
+
+// checkTurn decides hasTurned anew.
+func (r *Registry) checkTurn(f Fingerprint, rec *record, now time.Time) bool {
 	var times []time.Time
 	var first deathMark
 	for _, d := range rec.deaths {
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -34,6 +34,8 @@
 	quarantineEnd time.Time // zero while it is not in quarantine
 	prolonged     int       // how often the quarantine was prolonged
 	refusedAt     time.Time // latest verdict of quarantine
+	hasTurned     bool      // as found at turnCheckedAt: it has begun to crash upstreams
+	turnCheckedAt time.Time // zero if that has to be decided anew
 }
 
 // quarantineEnd is when a quarantine ended, and how often it had been prolonged.
