Bound Spin's checks by processor time

The bound stays 120 s, of processor time now, so that the verdict doesn't depend on what else the machine does.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -6,12 +6,15 @@
 work_dir=$(mktemp -d)
 trap 'rm -rf "$work_dir"' EXIT
 
+max_processor_seconds=120 # of one check; a bound on the time that passes would depend on what else the machine does
+
 # verify SPEC [-DNAME ...] checks a specification with Spin and sets errors and states to the reported counts.
 verify() {
   local spec=$1
   shift
   (cd "$work_dir" && rm -f pan* && spin -a "$@" "$spec_dir/$spec" >spin.log 2>&1 &&
-    gcc -O2 -DSAFETY -DMEMLIM=6000 -DCOLLAPSE -o pan pan.c 2>gcc.log && timeout 120 ./pan -m1000000 >pan.log 2>&1) || true
+    gcc -O2 -DSAFETY -DMEMLIM=6000 -DCOLLAPSE -o pan pan.c 2>gcc.log &&
+    ulimit -t "$max_processor_seconds" && ./pan -m1000000 >pan.log 2>&1) || true
   errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$work_dir/pan.log")
   states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' "$work_dir/pan.log" | head -1)
   if [ -z "$errors" ] || grep -q "max search depth too small\|out of memory\|aborted" "$work_dir/pan.log"; then
