--- a/test.sh
+++ b/test.sh
@@ -18,12 +18,13 @@
   sed -n 's/^test: /  /p' KNOWN-RED.txt
 fi
 skip=${skip:-^$}
+test_timeout=60m # of one package; Go's default of 10m is near what io/mesh takes beside load with the race detector
 rapid_packages=$(grep -rl 'pgregory.net/rapid' --include='*_test.go' core io platform |
   xargs -n1 dirname | sort -u | sed 's|^|./|')
 other_packages=$(go list ./... | grep -v '/io/trial$' | sed 's|^rhubarbspread|.|' |
   grep -vxF "$rapid_packages" | grep -vx './platform')
-go test -race -count=1 -skip "$skip" $other_packages
+go test -race -timeout "$test_timeout" -count=1 -skip "$skip" $other_packages
 # Its nodes use real sockets and time, so they run without other packages beside them.
-go test -race -count=1 -skip "$skip" ./platform
-go test -race -count=1 -skip "$skip" $rapid_packages -rapid.seed=1
-go test -count=1 -short -skip "$skip" ./io/trial
+go test -race -timeout "$test_timeout" -count=1 -skip "$skip" ./platform
+go test -race -timeout "$test_timeout" -count=1 -skip "$skip" $rapid_packages -rapid.seed=1
+go test -timeout "$test_timeout" -count=1 -short -skip "$skip" ./io/trial
