Spread choices by how many requests of other nodes are not seen yet

Cause: of 300 nodes each knows the others' requests 0.2 to 0.4 s late and takes the least cost. At 490 requests a second more than a hundred requests meet on the same fast upstreams before the first of them is known.

Change: the fleet's rate (from the counts of the retry budget) times the age of the view is the number of requests not seen.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -78,6 +78,8 @@
 	wakeAt        time.Time      // when wakeTimer fires
 	log           logr.Logger
 	linkBudgets   map[Key]*linkBudget // this node's budget on each link
+	viewAge       time.Duration       // of the claims in gossip when it arrives
+	gossipAt      time.Time           // when the latest gossip arrived
 	isOwnFault    func() bool         // this node, rather than an upstream, may be at fault for a failure
 }
 
--- a/core/board/gossip.go
+++ b/core/board/gossip.go
@@ -86,7 +86,8 @@
 func (b *Board) ApplyGossip(g Gossip) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[g.Node] = peerGossip{g, b.now()}
+	b.gossipAt = b.now()
+	b.peers[g.Node] = peerGossip{g, b.gossipAt}
 	byHash := make(map[uint32]*upstreamState, len(b.states))
 	for _, s := range b.states {
 		s.peerClaims, s.suspicions, s.refusedPeers = Claim{}, 0, 0
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -22,6 +22,8 @@
 type RetryBudget interface {
 	// RecordFirstAttempt records a first attempt.
 	RecordFirstAttempt(service string)
+	// Rate returns how many requests for a service a second arrive at all nodes together.
+	Rate(service string) float64
 	// Take spends one retry and reports whether the budget held one.
 	Take(service string) bool
 }
@@ -281,6 +283,7 @@
 		HasConnection:   r.executor.transport.HasConnection,
 		FirstEventLimit: maxFirstEventWait(r.request.Route),
 		EventGap:        r.request.Route.EventGapObjective,
+		FleetRate:       r.executor.budget.Rate(r.request.Service.Name),
 	}
 }
 
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -41,6 +41,7 @@
 func (f *fakeFleet) DataCentre() string                 { return "a" }
 func (f *fakeFleet) Versions() (uint64, uint64)         { return 1, 1 }
 func (f *fakeFleet) RecordFirstAttempt(string)          {}
+func (f *fakeFleet) Rate(string) float64                { return 0 }
 
 func (f *fakeFleet) Take(string) bool {
 	f.mu.Lock()
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -156,6 +156,18 @@
 	return count
 }
 
+// Rate returns how many requests for a service a second arrive at all nodes together, as far as this node knows.
+func (w *Window) Rate(service string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	count, _ := w.totals(ServiceHash(service), w.serviceBudget(service), now)
+	return float64(count.FirstAttempts) / min(w.window, max(minRateTime, now.Sub(w.startedAt))).Seconds()
+}
+
+// minRateTime is the shortest time after a node's start that its counts are divided by.
+const minRateTime = time.Second
+
 // nodeBurst returns how many retries of its share of the extra a node may spend at once: half of it. The other half
 // accrues over one window. A node starts with none, since its previous incarnation may have spent them.
 func (w *Window) nodeBurst() float64 { return w.extra / float64(w.nodes) / 2 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -260,6 +260,7 @@
 	var loggedAt time.Time
 	for ctx.Err() == nil {
 		sequence++
+		m.board.SetViewAge(m.viewAge())
 		for _, d := range m.datagrams(m.digest(sequence), m.knownNodes()) {
 			raw, err := proto.Marshal(d.digest)
 			if err != nil {
@@ -280,6 +281,14 @@
 	return nil
 }
 
+// viewAge returns how old the claims in digests are in the mean: each node on the way waits for half a period.
+func (m *Mesh) viewAge() time.Duration {
+	if m.usesRelays() {
+		return relayedHops * gossipPeriod / 2
+	}
+	return gossipPeriod / 2
+}
+
 // knownNodes returns the other nodes in the store's list, and those that are not in it yet but sent datagrams.
 func (m *Mesh) knownNodes() map[string]Node {
 	all := maps.Clone(m.listedNodes())
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -19,6 +19,7 @@
 	relayThreshold      = 16
 	relaysPerDataCentre = 2           // two, so that one may fail
 	memberTTL           = time.Second // after which the claims of a silent node are left out of the sum
+	relayedHops         = 3           // between nodes of two data centres: from the node over their relays
 	allOthers           = "*"         // stands for the sum of all other nodes in place of a node's name
 )
 
