Let a refusal of some nodes keep all others away from an upstream

Change: a doubt is a fact with its age that lives until an answer, new layers, a new incarnation or 8 s end it. All nodes merge and pass it on; two different nodes must have been refused, and only refusals within a data centre count for others, since a link may be at fault. The upstream is left alone for 0.3 s, doubled with each refusal in a row; then the nodes try it in turn, so that about one tries in the time in which all learn of it. New doubts are sent at once in small datagrams, over the relays, to nodes that say that they understand these; digests of old builds stay as they are. Each change is logged (upstream-doubt).

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -60,6 +60,9 @@
 	reportedRequests   int     // requests that it reported to have, at reportedRequestsAt
 	reportedRequestsAt time.Time
 	limit              pacer.Limit // on the requests of all nodes that are sent to it
+	doubt              doubtState
+	layers             fleet.Range // that it holds by the list
+	changedAt          time.Time   // when the list last said that these have changed
 }
 
 // Board tracks the load and health of upstreams. It is safe for concurrent use.
@@ -71,6 +74,8 @@
 	peers         map[string]peerGossip
 	capacityFreed chan struct{} // closed and replaced when capacity may have become free
 	dataCentre    string        // the node's own data centre
+	nameHash      uint32        // of the node's name
+	doubtsChanged chan struct{} // receives a value when a new doubt should be passed on at once
 	partitions    map[string]*partition
 	nodes         int            // nodes that share the links between data centres, with this one
 	sharers       *pacer.Sharers // of upstreams' limits
@@ -97,7 +102,12 @@
 // WithDataCentre sets the node's own data centre, which never counts as unreachable.
 func WithDataCentre(name string) Option { return func(b *Board) { b.dataCentre = name } }
 
-// WithLogger sets the logger of changed limits; by default they are not logged.
+// WithName sets the node's name.
+func WithName(name string) Option {
+	return func(b *Board) { b.nameHash = uint32(xxhash.Sum64String(name)) }
+}
+
+// WithLogger sets the logger of changed limits and doubts; by default these are not logged.
 func WithLogger(log logr.Logger) Option { return func(b *Board) { b.log = log } }
 
 // WithOwnFault sets the function that reports whether failures may be this node's own fault. Such failures are not gossiped,
@@ -113,6 +123,7 @@
 		peers:         make(map[string]peerGossip),
 		capacityFreed: make(chan struct{}),
 		partitions:    make(map[string]*partition),
+		doubtsChanged: make(chan struct{}, 1),
 		nodes:         1, linkBudgets: make(map[Key]*linkBudget),
 		log: logr.Discard(), sharers: &pacer.Sharers{}, isOwnFault: func() bool { return false },
 	}
@@ -137,7 +148,12 @@
 		}
 	}
 	for _, u := range list.All() {
-		b.state(KeyOf(u)).dataCentre = u.DataCentre
+		s := b.state(KeyOf(u))
+		s.dataCentre = u.DataCentre
+		if s.layers != u.Layers {
+			s.layers, s.changedAt = u.Layers, b.now()
+			s.endDoubt()
+		}
 	}
 	b.wakeWaiters()
 }
@@ -183,12 +199,18 @@
 	maxDoublings        = 4                       // limit on the doublings of an ejection time
 )
 
-// RecordRefusal records that an upstream refused a request: it has no capacity, or a later stage of the path failed.
-func (b *Board) RecordRefusal(u *fleet.Upstream) {
+// RecordRefusal records that an upstream refused a request: it has no room, or no longer runs its layers. From is the data
+// centre of the stage before, or "" for the first stage. Only a refusal within a data centre says to the other nodes that the
+// upstream is at fault, as the link to it may be.
+func (b *Board) RecordRefusal(u *fleet.Upstream, from string) {
+	isOwnFault := b.isOwnFault()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(KeyOf(u))
 	now := b.now()
+	if !crosses(from, u.DataCentre) && !isOwnFault {
+		b.noteRefusal(u.ID, s, now)
+	}
 	if now.Before(s.ejectedUntil) {
 		return
 	}
@@ -244,7 +266,7 @@
 
 // isExcluded reports whether an upstream may not be picked now.
 func (b *Board) isExcluded(u *fleet.Upstream, s *upstreamState, now time.Time) bool {
-	if now.Before(s.ejectedUntil) || b.isPartitioned(u.DataCentre, now) || s.isRefusingPeers(now) {
+	if now.Before(s.ejectedUntil) || b.isPartitioned(u.DataCentre, now) || b.isRefusing(s, now) {
 		return true
 	}
 	if s.failures+s.refusals > 0 && now.Before(s.probeUntil) {
@@ -253,6 +275,11 @@
 	return s.suspicions >= minSuspicions && now.Sub(s.lastAlive) > aliveTTL && now.Before(s.probeUntil)
 }
 
+// isRefusing reports whether an upstream refuses the requests of several nodes, and would refuse another one as well.
+func (b *Board) isRefusing(s *upstreamState, now time.Time) bool {
+	return s.isRefusingPeers(now) || b.isDoubted(s, now)
+}
+
 // startProbe makes the request of a reservation the only probe of an upstream that was ejected.
 func (r *Reservation) startProbe(s *upstreamState, now time.Time) {
 	if s.failures+s.refusals > 0 || s.suspicions >= minSuspicions {
@@ -299,6 +326,7 @@
 	s.silentSince, s.lastSilentAt = time.Time{}, time.Time{}
 	s.ejectedUntil, s.probeUntil = time.Time{}, time.Time{}
 	s.lastAlive = b.now()
+	b.noteAnswer(u, s, s.lastAlive)
 }
 
 // partition is the evidence that a data centre can't be reached.
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -149,7 +149,7 @@
 	list := splitModel()
 	v := list[1]
 	for range 6 {
-		b.RecordRefusal(v)
+		b.RecordRefusal(v, "")
 		c.advance(maxRefusalEjection + time.Millisecond)
 	}
 	probes := 0
--- a/core/board/fault_test.go
+++ b/core/board/fault_test.go
@@ -44,7 +44,7 @@
 				b.RecordFailure(upstream(id, u.DataCentre, "big", 0, 80))
 			}
 		}, false},
-		{"a refusal", func(b *Board, u *fleet.Upstream) { b.RecordRefusal(u) }, true},
+		{"a refusal", func(b *Board, u *fleet.Upstream) { b.RecordRefusal(u, "") }, true},
 		{"refusals to others", func(b *Board, u *fleet.Upstream) {
 			b.ApplyGossip(Gossip{Node: "x", Refusing: []uint32{KeyOf(u).Hash()}})
 			b.ApplyGossip(Gossip{Node: "y", Refusing: []uint32{KeyOf(u).Hash()}})
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -239,7 +239,7 @@
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if b.isWithheld(s, now) || b.isExcluded(u, s, now) && (!useEjected || s.isRefusingPeers(now)) {
+		if b.isWithheld(s, now) || b.isExcluded(u, s, now) && (!useEjected || b.isRefusing(s, now)) {
 			continue
 		}
 		card = b.cardOf(n.Engine, u, s)
--- a/core/board/refuse_test.go
+++ b/core/board/refuse_test.go
@@ -20,9 +20,9 @@
 		path  bool
 	}{
 		{"no refusal", func(*Board, *fakeClock) {}, true},
-		{"refused this node, no other holds its layers", func(b *Board, _ *fakeClock) { b.RecordRefusal(u) }, true},
+		{"refused this node, no other holds its layers", func(b *Board, _ *fakeClock) { b.RecordRefusal(u, "") }, true},
 		{"refused this node, ejection over",
-			func(b *Board, c *fakeClock) { b.RecordRefusal(u); c.advance(baseRefusalEjection) }, true},
+			func(b *Board, c *fakeClock) { b.RecordRefusal(u, ""); c.advance(baseRefusalEjection) }, true},
 		{"refused one other node", func(b *Board, _ *fakeClock) { gossipRefusal(b, "x") }, true},
 		{"refused two other nodes",
 			func(b *Board, _ *fakeClock) { gossipRefusal(b, "x"); gossipRefusal(b, "y") }, false},
@@ -56,7 +56,7 @@
 	c := newClock()
 	b := newBoard(c, 1)
 	u := upstream("u", "a", "big", 0, 80)
-	b.RecordRefusal(u)
+	b.RecordRefusal(u, "")
 	if got := b.RefusingHashes(); len(got) != 1 || got[0] != KeyOf(u).Hash() {
 		t.Errorf("gossiped as refusing: %v", got)
 	}
--- a/core/board/stale_test.go
+++ b/core/board/stale_test.go
@@ -28,6 +28,7 @@
 const (
 	lossTime      = 4 * time.Second
 	digestPeriod  = 150 * time.Millisecond
+	factsAge      = 20 * time.Millisecond  // of doubts that are passed on at once, over two relays
 	learnDelay    = 600 * time.Millisecond // until all nodes may be held to know of a crash
 	streamAim     = 600 * time.Millisecond // to the first event
 	eventGapAim   = 300 * time.Millisecond
@@ -149,7 +150,7 @@
 	}
 	for n := range c.nodes {
 		dataCentre := fmt.Sprint("dc", n%staleCentres)
-		b := New(WithClock(f.clock.now), WithSeed(seed*1000+uint64(n)), WithDataCentre(dataCentre))
+		b := New(WithName(fmt.Sprint("node-", n)), WithClock(f.clock.now), WithSeed(seed*1000+uint64(n)), WithDataCentre(dataCentre))
 		b.SetNodes(c.nodes)
 		b.SetViewAge(c.digestAge)
 		b.SetUpstreams(fleet.NewList(1, f.list))
@@ -165,6 +166,7 @@
 	total := make(map[uint32]Claim)
 	refusing := make(map[uint32]int)
 	failed := make(map[uint32]int)
+	doubts := make(map[uint32]Doubt)
 	for i, b := range f.boards {
 		gossips[i] = Gossip{Claims: b.Claims(), Refusing: b.RefusingHashes(), Failed: b.FailedHashes()}
 		for hash, c := range gossips[i].Claims {
@@ -176,6 +178,9 @@
 		for _, hash := range gossips[i].Failed {
 			failed[hash]++
 		}
+		for hash, d := range b.Doubts() {
+			doubts[hash] = joinDoubts(doubts[hash], d)
+		}
 	}
 	for i, b := range f.boards {
 		f.after(f.digestAge, func() {
@@ -188,6 +193,7 @@
 			others.Refusing = withoutOwn(refusing, gossips[i].Refusing)
 			others.Failed = withoutOwn(failed, gossips[i].Failed)
 			b.ApplyGossip(others)
+			b.ApplyDoubts(aged(doubts, f.digestAge))
 		})
 	}
 	if f.clock.now().Before(f.end) {
@@ -195,6 +201,53 @@
 	}
 }
 
+// passOnFacts sends a node's new doubts to all others at once.
+func (f *staleFleet) passOnFacts(from *Board) {
+	select {
+	case <-from.DoubtsChanged():
+	default:
+		return
+	}
+	doubts := from.Doubts()
+	f.after(factsAge, func() {
+		for _, b := range f.boards {
+			if b != from {
+				b.ApplyDoubts(aged(doubts, factsAge))
+			}
+		}
+	})
+}
+
+// joinDoubts returns what two nodes together know of an upstream; the first may know nothing.
+func joinDoubts(a, b Doubt) Doubt {
+	if a.Count == 0 {
+		return b
+	}
+	if a.AnsweredAge < 0 || b.AnsweredAge >= 0 && b.AnsweredAge < a.AnsweredAge {
+		a.AnsweredAge = b.AnsweredAge
+	}
+	a.RefusedAge, a.Count = min(a.RefusedAge, b.RefusedAge), max(a.Count, b.Count)
+	for _, source := range b.Sources {
+		if len(a.Sources) < maxDoubtSources && !slices.Contains(a.Sources, source) {
+			a.Sources = append(slices.Clone(a.Sources), source)
+		}
+	}
+	return a
+}
+
+// aged returns doubts after some time on the way.
+func aged(doubts map[uint32]Doubt, d time.Duration) map[uint32]Doubt {
+	out := make(map[uint32]Doubt, len(doubts))
+	for hash, doubt := range doubts {
+		doubt.RefusedAge += d
+		if doubt.AnsweredAge >= 0 {
+			doubt.AnsweredAge += d
+		}
+		out[hash] = doubt
+	}
+	return out
+}
+
 // withoutOwn returns each hash as often as other nodes state it.
 func withoutOwn(counts map[uint32]int, own []uint32) []uint32 {
 	var out []uint32
@@ -255,8 +308,11 @@
 	f, b := q.fleet, q.fleet.boards[q.node]
 	f.result.arrivals++
 	q.attempts++
+	from := ""
 	for _, h := range r.Hops() {
 		u := f.upstreams[h.Upstream.ID]
+		previous := from
+		from = h.Upstream.DataCentre
 		if !u.isDead && u.used+q.prompt*float64(h.Layers.Len()) <= u.room {
 			continue
 		}
@@ -264,7 +320,8 @@
 		if f.clock.now().Sub(f.start) > lossTime+learnDelay {
 			f.result.lateRefusals[h.Upstream.ID]++
 		}
-		b.RecordRefusal(h.Upstream)
+		b.RecordRefusal(h.Upstream, previous)
+		f.passOnFacts(b)
 		r.Release()
 		q.exclude = append(q.exclude, h.Upstream.ID)
 		if q.attempts < engineAttempt {
--- a/core/proxy/retry.go
+++ b/core/proxy/retry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rhubarbspread/core/board"
+	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/reply"
 	"rhubarbspread/core/rules"
 )
@@ -139,12 +140,9 @@
 func (r *run) rejection(res *board.Reservation, a *Answer) reply.Outcome {
 	switch {
 	case a.NotRun:
-		failed := stageAt(res.Hops(), a.FailedAddress)
-		if failed == nil {
-			failed = res.Upstream
-		}
+		failed, from := failedStage(res, a.FailedAddress)
 		r.excludeUpstream(failed.ID)
-		r.executor.board.RecordRefusal(failed)
+		r.executor.board.RecordRefusal(failed, from)
 		return reply.NewRefused(a.Status, "refused by "+failed.ID, 0)
 	case a.IDMismatch || a.Status < http.StatusMultipleChoices && !a.Sealed:
 		r.excludeUpstream(res.Upstream.ID)
@@ -154,6 +152,19 @@
 	return nil
 }
 
+// failedStage returns the upstream at an address that refused a request, by default the first one, and the data centre of the
+// stage before it, or "" for none.
+func failedStage(res *board.Reservation, address string) (*fleet.Upstream, string) {
+	from := ""
+	for _, h := range res.Hops() {
+		if h.Upstream.Address == address {
+			return h.Upstream, from
+		}
+		from = h.Upstream.DataCentre
+	}
+	return res.Upstream, ""
+}
+
 func (r *run) excludeUpstream(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -95,7 +95,7 @@
 	n := &Node{
 		dial:   hop.DialDirect,
 		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
-		board: board.New(board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node)),
+		board: board.New(board.WithName(c.Node), board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node)),
 			board.WithOwnFault(tracker.IsSuspected)),
 		stats:        stats.New(),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -96,6 +96,7 @@
 	mu          sync.Mutex
 	peers       map[string]*peerState // by node name
 	recentMarks []recentMark          // made by this node
+	news        chan struct{}         // receives a value when a relay learns of doubts that others may not know
 }
 
 // peerState holds the latest datagrams of another node.
@@ -116,7 +117,7 @@
 	return &Mesh{
 		config: c, board: b, crashes: crashes, retries: retries, storeState: storeState, listedNodes: listedNodes, log: log,
 		peers:       make(map[string]*peerState),
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(time.Now().UnixNano()), news: make(chan struct{}, 1),
 	}
 }
 
@@ -138,10 +139,11 @@
 	if err := wire.DRPCRegisterMesh(mux, &server{mesh: m}); err != nil {
 		return errors.Join(err, conn.Close(), listener.Close())
 	}
-	done := make(chan error, 3)
+	done := make(chan error, 4)
 	go func() { done <- drpcserver.New(mux).Serve(ctx, listener) }()
 	go func() { done <- m.receive(conn) }()
 	go func() { done <- m.send(ctx, conn) }()
+	go func() { done <- m.sendFacts(ctx, conn) }()
 	<-ctx.Done()
 	err = conn.Close()
 	for range cap(done) {
@@ -176,6 +178,10 @@
 	if d.GetNode() == "" || d.GetNode() == m.config.Node {
 		return
 	}
+	if d.GetOnlyFacts() {
+		m.handleFacts(d)
+		return
+	}
 	m.mu.Lock()
 	s := m.peers[d.GetNode()]
 	if s == nil {
@@ -198,6 +204,7 @@
 	m.mu.Unlock()
 	m.applyMarks(d)
 	m.board.ApplyLimits(limitsOf(d))
+	m.board.ApplyDoubts(doubtsOf(d))
 	if d.GetScope() == wire.Scope_NODE && m.usesRelays() {
 		return // a relay's sum contains it
 	}
@@ -336,7 +343,7 @@
 		DataCentre: m.config.DataCentre, Plans: state.IsPlanner, Crashes: m.marksToSend(sequence, evidence),
 		Address: m.config.DatagramAddress, Questions: m.config.RPCAddress, Resting: m.board.FailedHashes(),
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
-		Settled: uint32(m.retries.Coverage().Settled),
+		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
 	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
@@ -352,6 +359,9 @@
 			Upstream: hash, PerSecond: s.PerSecond, Lifted: s.IsLifted, AgeMs: uint32(s.Age.Milliseconds()),
 		})
 	}
+	for hash, doubt := range m.board.Doubts() {
+		d.Doubts = append(d.Doubts, encodeDoubt(hash, doubt))
+	}
 	for hash, slowdown := range m.board.Slowdowns() {
 		d.Health = append(d.Health, &wire.Health{Upstream: hash, Pace: uint32(slowdown * thousand)})
 	}
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -74,7 +74,7 @@
 func (g *group) newMember(i, n int, dataCentre string) *member {
 	m := &member{
 		address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
-		dataCentre: dataCentre, board: board.New(board.WithSeed(uint64(i))),
+		dataCentre: dataCentre, board: board.New(board.WithName(fmt.Sprintf("node-%d", i)), board.WithSeed(uint64(i))),
 	}
 	m.budget = retry.NewWindow(0.2, 100, 10*time.Second)
 	m.budget.SetNodes(n)
@@ -362,7 +362,7 @@
 				}
 				for sequence := range uint32(3) {
 					for _, m := range g.nodes[:2] {
-						m.board.RecordRefusal(g.upstreams[0])
+						m.board.RecordRefusal(g.upstreams[0], "")
 					}
 					g.deliver(sequence + 5)
 				}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -248,7 +248,8 @@
 		Questions: own.GetQuestions(), Rules: rulesVersion, List: listVersion, Scope: scope,
 		Quarantined: own.GetQuarantined(), Crashes: limitMarks(slices.Collect(maps.Values(s.crashes))),
 		Plans: s.planners > 0, Nodes: uint32(s.nodes), Settled: uint32(s.settled),
-		Limits: own.GetLimits(), // which include the newest of those received
+		Limits: own.GetLimits(),                   // which include the newest of those received
+		Doubts: own.GetDoubts(), TakesFacts: true, // likewise
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
