Let few nodes read the store where the nodes are many

Change: three relays, the first by the hash of their names that are not silent, from different data centres, poll the list and the configuration. Each digest says for both how long ago the store confirmed the version that stands in it. A node relies on the newest confirmation by a node that has nothing newer than itself; the age of another's word starts from what it was on arrival and grows. A node polls for itself once it learns of something newer (for the list not more often than before), or once the word is as old as its own pause between polls used to be at most, spread over the nodes: a poll over a silent connection and another one then end within the bound. Digests of older builds give no word, so that beside them nodes poll for themselves. The lease is left to the readers while there is a holder and for three terms after. Up to 16 other nodes nothing changes.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -32,6 +32,7 @@
 	holder       string
 	term         time.Duration
 	holderActive func() bool // whether another holder is known to be active
+	isStandby    func() bool // whether other candidates poll in place of this one
 	isEligible   func() bool // whether this candidate can do what the holder must do
 
 	mu            sync.Mutex
@@ -47,13 +48,17 @@
 // of one candidate.
 func New(table store.Table, name, holder string, term time.Duration) *Lease {
 	return &Lease{table: table, key: "lease/" + name, holder: holder, term: term,
-		holderActive: func() bool { return false }, isEligible: func() bool { return true }}
+		holderActive: func() bool { return false }, isStandby: func() bool { return false }, isEligible: func() bool { return true }}
 }
 
 // SetHolderActive sets the function that reports whether another holder is known to be active, in which case this
 // candidate polls less often. It does not change when the candidate may take over.
 func (l *Lease) SetHolderActive(f func() bool) { l.holderActive = f }
 
+// SetStandby sets the function that reports whether other candidates poll in place of this one, which then leaves it to them
+// unless it holds the lease.
+func (l *Lease) SetStandby(f func() bool) { l.isStandby = f }
+
 // SetEligible sets the function that reports whether this candidate can do what the holder must do. While it can't, it does
 // not act, lets its lease lapse and takes over none.
 func (l *Lease) SetEligible(f func() bool) { l.isEligible = f }
@@ -99,7 +104,7 @@
 // waitForPoll waits until the next poll is due; it returns false if the context ended.
 func (l *Lease) waitForPoll(ctx context.Context) bool {
 	interval := time.Duration(float64(l.term) * pollFraction)
-	for range idlePollFactor {
+	for i := 0; i < idlePollFactor || l.leavesPolling(); i++ {
 		select {
 		case <-time.After(interval):
 		case <-ctx.Done():
@@ -112,6 +117,12 @@
 	return true
 }
 
+// leavesPolling reports whether this candidate leaves polling to others for now.
+func (l *Lease) leavesPolling() bool {
+	_, held := l.Valid()
+	return !held && l.isStandby()
+}
+
 // Step polls the row once, and renews the lease or takes it over if it may.
 func (l *Lease) Step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(l.term)*callFraction))
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -44,6 +44,7 @@
 	since       uint64
 	hasSnapshot bool
 	failures    int  // failed calls in a row
+	leaves      bool // this node leaves polling to others
 	isUrgent    bool // the next poll asks for an immediate answer
 }
 
@@ -51,6 +52,8 @@
 func (n *Node) followTopic(ctx context.Context, t store.Topic, changes chan<- change) error {
 	f := &follower{topic: t}
 	for ctx.Err() == nil {
+		f.leaves = n.delegates()
+		evidence := n.evidence()
 		ch, err := n.readChange(ctx, f)
 		switch {
 		case errors.Is(err, errStoreSuspected):
@@ -65,9 +68,12 @@
 			sleep(ctx, backoff(f.failures, err))
 			f.failures++
 			f.isUrgent = true
+			if f.hasSnapshot {
+				n.awaitDuty(ctx, f)
+			}
 			continue
 		}
-		n.recordSuccess(t)
+		n.recordSuccess(t, evidence)
 		f.failures, f.isUrgent = 0, false
 		f.hasSnapshot, f.since = true, ch.version
 		ch.version = newestVersion(ch)
@@ -77,7 +83,7 @@
 			case <-ctx.Done():
 			}
 		}
-		sleep(ctx, n.pauseFor(t))
+		n.pause(ctx, f)
 	}
 	return nil
 }
@@ -90,6 +96,7 @@
 		ch.rows, ch.version, err = n.platform.Feed.Snapshot(ctx, f.topic)
 		return ch, err
 	}
+	n.stats.Count("store-polls-" + f.topic.String())
 	p := n.pollFor(f)
 	ctx, cancel := context.WithTimeout(ctx, p.wait+p.margin)
 	defer cancel()
@@ -150,7 +157,9 @@
 	bound := n.changeBound()
 	p := poll{margin: callMargin(bound, f.failures)}
 	switch {
-	case f.isUrgent:
+	case f.isUrgent || f.leaves && f.topic != store.Nodes:
+	case f.topic == store.Configuration && n.mesh.ReadsForMembers():
+		p.wait = bound / listWaitDivisor
 	case f.topic == store.Configuration:
 		p.wait = configWait
 	case f.topic == store.Upstreams:
@@ -221,10 +230,16 @@
 	}
 }
 
-// recordSuccess records a successful call of the store.
-func (n *Node) recordSuccess(t store.Topic) {
+// recordSuccess records a successful call of the store, before which the other nodes said what is given.
+func (n *Node) recordSuccess(t store.Topic, before mesh.Evidence) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
+	switch t {
+	case store.Configuration:
+		n.coveredRules.Store(max(n.coveredRules.Load(), before.RulesVersion))
+	case store.Upstreams:
+		n.coveredList.Store(max(n.coveredList.Load(), before.ListVersion))
+	}
 	n.storeReadBefore[t], n.storeReadAt[t] = n.storeReadAt[t], time.Now()
 	if t == store.Upstreams {
 		n.outage.ReadSucceeded(time.Now())
--- a/io/entry/follow_test.go
+++ b/io/entry/follow_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -116,3 +117,27 @@
 		}
 	}
 }
+
+// TestNodesThatWaitForOthersPollInTime guards against nodes that leave polling to others and whose own polls, once these fall
+// silent, end too late: the first may use a connection that has gone silent.
+func TestNodesThatWaitForOthersPollInTime(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 7 * time.Second, 30 * time.Second} {
+		least := bound
+		for i := range 60 {
+			n := &Node{config: Config{Node: fmt.Sprint("node-", i)}}
+			n.settings.Store(&Config{DrainBound: bound, ApplyBound: 2 * bound})
+			deadline := n.evidenceDeadline()
+			least = min(least, deadline)
+			first := n.pollFor(&follower{topic: store.Upstreams, leaves: true})
+			second := n.pollFor(&follower{topic: store.Upstreams, leaves: true, failures: 1, isUrgent: true})
+			if end := deadline + dutyInterval + first.wait + first.margin + second.wait + second.margin; end > bound {
+				t.Errorf("%v: %v until the second poll ends, want at most %v", bound, end, bound)
+			}
+		}
+		n := &Node{}
+		n.settings.Store(&Config{DrainBound: bound, ApplyBound: bound})
+		if most := listPause(bound); least < time.Duration((1-deadlineSpread)*float64(most)) || least == most {
+			t.Errorf("%v: the first node polls after %v, the last after %v", bound, least, most)
+		}
+	}
+}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -81,6 +81,10 @@
 	storeReadBefore map[store.Topic]time.Time
 	outage          *fleet.Outage
 	polls           polls
+	// covered holds the newest versions of other nodes before the latest answer of the store, which showed that this node has all
+	// that they had.
+	coveredRules, coveredList atomic.Uint64
+	plannerSeenAt             atomic.Int64 // when another node was last known to hold the lease, in ns since the start
 }
 
 // Option configures a Node.
@@ -131,6 +135,7 @@
 	n.stats.Gauge("resting-upstreams", func() any { return n.board.RestingUpstreams() })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
+	n.lease.SetStandby(n.leavesLease)
 	n.lease.SetEligible(func() bool { return !tracker.IsIsolated() })
 	return n
 }
@@ -158,6 +163,7 @@
 	if v.Rules != nil {
 		state.RulesVersion = v.Rules.Version()
 	}
+	state.RulesConfirmedAt, state.ListConfirmedAt = n.confirmedAt(store.Configuration), n.confirmedAt(store.Upstreams)
 	return state
 }
 
@@ -201,6 +207,9 @@
 func (n *Node) isConfigCurrent() bool {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
+	if time.Since(n.evidence().RulesConfirmedAt) < n.settings.Load().ApplyBound {
+		return true
+	}
 	return !n.storeFailing[store.Configuration] &&
 		time.Since(n.storeReadAt[store.Configuration]) < configWait+n.settings.Load().ApplyBound &&
 		time.Since(n.storeReadAt[store.Upstreams]) < n.settings.Load().ApplyBound
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -9,6 +9,7 @@
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
+	"rhubarbspread/io/mesh"
 
 	"github.com/go-logr/logr"
 )
@@ -19,10 +20,10 @@
 		NewEngines:     func(*hop.Pool) Engines { return nil },
 		DecodeUpstream: func(id string, _ []byte) (*fleet.Upstream, error) { return &fleet.Upstream{ID: id, Service: "s"}, nil },
 	}, logr.Discard())
-	n.recordSuccess(store.Upstreams)
+	n.recordSuccess(store.Upstreams, mesh.Evidence{})
 	n.recordFailure(store.Upstreams, errors.New("no answer"))
 	time.Sleep(2 * time.Second)
-	n.recordSuccess(store.Upstreams)
+	n.recordSuccess(store.Upstreams, mesh.Evidence{})
 	return newControl(n)
 }
 
--- a/io/mesh/doubts.go
+++ b/io/mesh/doubts.go
@@ -122,7 +122,7 @@
 // others, or where relays are used those of its data centre, and of a relay also its members and the other relays.
 func (m *Mesh) factsReceivers(others map[string]Node, isOwn bool) []netip.AddrPort {
 	var names []string
-	if len(others) < relayThreshold {
+	if len(others) < RelayThreshold {
 		for name := range others {
 			names = append(names, name)
 		}
--- a/io/mesh/live_test.go
+++ b/io/mesh/live_test.go
@@ -33,7 +33,7 @@
 					}
 				}
 				time.Sleep(peerTTL + time.Millisecond)
-				if n := len(first.LiveNodes()); test.nodes < relayThreshold && n != 0 {
+				if n := len(first.LiveNodes()); test.nodes < RelayThreshold && n != 0 {
 					t.Errorf("%d live nodes after all have fallen silent, want none", n)
 				}
 			})
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbspread/core/board"
@@ -38,6 +39,9 @@
 	Rows         []store.FeedRow // entries of the upstreams
 	NodeRows     []store.FeedRow // rows that nodes write
 	IsPlanner    bool            // the node holds the placement lease
+	// When the store last confirmed that it has nothing newer, to this node or to another one whose word came with its age; zero
+	// if unknown.
+	RulesConfirmedAt, ListConfirmedAt time.Time
 }
 
 // CrashRegistry receives the marks that other nodes set on requests that crash upstreams.
@@ -65,6 +69,8 @@
 	ListVersion  uint64
 	LastSeen     time.Time // when the latest datagram arrived
 	IsPlanner    bool      // it holds the placement lease
+	// When the store last confirmed its versions, in this node's time; zero if unknown.
+	RulesConfirmedAt, ListConfirmedAt time.Time
 }
 
 // Node is the location of another node.
@@ -93,6 +99,8 @@
 	crashes CrashRegistry
 	retries RetryBudget
 
+	isReader atomic.Bool // this node reads the store for others, as of the latest period
+
 	mu          sync.Mutex
 	peers       map[string]*peerState // by node name
 	recentMarks []recentMark          // made by this node
@@ -196,7 +204,7 @@
 		return
 	}
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
-	s.Peer = Peer{d.GetNode(), d.GetDataCentre(), d.GetQuestions(), d.GetRules(), d.GetList(), time.Now(), d.GetPlans()}
+	s.Peer = peerOf(d)
 	s.latest = d
 	if d.GetScope() == wire.Scope_NODE {
 		s.ownDigest, s.ownReceivedAt = d, time.Now()
@@ -213,6 +221,17 @@
 	}
 }
 
+// peerOf returns a node as a datagram that has just arrived describes it.
+func peerOf(d *wire.Digest) Peer {
+	p := Peer{Name: d.GetNode(), DataCentre: d.GetDataCentre(), RPCAddress: d.GetQuestions(), RulesVersion: d.GetRules(),
+		ListVersion: d.GetList(), LastSeen: time.Now(), IsPlanner: d.GetPlans()}
+	if d.GetConfirms() {
+		p.RulesConfirmedAt = p.LastSeen.Add(-milliseconds(d.GetRulesAgeMs()))
+		p.ListConfirmedAt = p.LastSeen.Add(-milliseconds(d.GetListAgeMs()))
+	}
+	return p
+}
+
 // limitsOf returns the limits of upstreams that a digest states.
 func limitsOf(d *wire.Digest) map[uint32]pacer.Statement {
 	limits := make(map[uint32]pacer.Statement, len(d.GetLimits()))
@@ -345,6 +364,11 @@
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
 	}
+	if !state.RulesConfirmedAt.IsZero() && !state.ListConfirmedAt.IsZero() {
+		d.Confirms = true
+		d.RulesAgeMs = uint32(time.Since(state.RulesConfirmedAt).Milliseconds())
+		d.ListAgeMs = uint32(time.Since(state.ListConfirmedAt).Milliseconds())
+	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
 			Upstream: hash, Held: uint32(c.Reserved / thousand), Running: uint32(c.InFlight), First: uint32(c.FirstStage),
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -23,6 +23,7 @@
 
 // group is a set of nodes whose datagrams the test delivers.
 type group struct {
+	sequence      uint32 // of the latest period that exchange has played
 	t             *testing.T
 	nodes         []*member
 	upstreams     []*fleet.Upstream
@@ -34,6 +35,7 @@
 
 // member is one node of a group.
 type member struct {
+	isCutFromStore bool
 	*Mesh
 	address    netip.AddrPort
 	dataCentre string
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -14,9 +14,9 @@
 
 // Parameters of relays.
 const (
-	// relayThreshold is the number of other nodes from which on relays are used, since direct traffic between all nodes
+	// RelayThreshold is the number of other nodes from which on relays are used, since direct traffic between all nodes
 	// grows with the square of their number.
-	relayThreshold      = 16
+	RelayThreshold      = 16
 	relaysPerDataCentre = 2           // two, so that one may fail
 	memberTTL           = time.Second // after which the claims of a silent node are left out of the sum
 	relayedHops         = 3           // between nodes of two data centres: from the node over their relays
@@ -33,14 +33,15 @@
 }
 
 // usesRelays reports whether the nodes are so many that they exchange state through relays.
-func (m *Mesh) usesRelays() bool { return len(m.listedNodes()) >= relayThreshold }
+func (m *Mesh) usesRelays() bool { return len(m.listedNodes()) >= RelayThreshold }
 
 // datagrams returns the datagrams of one period. Few nodes send their digests to each other directly. Many nodes send
 // them to the relays of their data centre, which add them up, exchange the sums with the relays of other data centres
 // and send each member of their own data centre the sum of all other nodes.
 func (m *Mesh) datagrams(own *wire.Digest, others map[string]Node) []datagram {
 	var out []datagram
-	if len(others) < relayThreshold {
+	if len(others) < RelayThreshold {
+		m.isReader.Store(false)
 		for _, n := range others {
 			out = append(out, datagram{n.Address, own})
 		}
@@ -53,6 +54,7 @@
 			out = append(out, datagram{others[name].Address, own})
 		}
 	}
+	m.isReader.Store(slices.Contains(m.readersOf(relays), m.config.Node))
 	if slices.Contains(ownRelays.active, m.config.Node) {
 		out = append(out, m.relayDatagrams(own, others, relays)...)
 	}
@@ -250,6 +252,7 @@
 		Plans: s.planners > 0, Nodes: uint32(s.nodes), Settled: uint32(s.settled),
 		Limits: own.GetLimits(),                   // which include the newest of those received
 		Doubts: own.GetDoubts(), TakesFacts: true, // likewise
+		Confirms: own.GetConfirms(), RulesAgeMs: own.GetRulesAgeMs(), ListAgeMs: own.GetListAgeMs(),
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
