Return the retry of an attempt beside a silent one that reached no upstream

Cause: a retry of the shared budget is taken before the attempt begins, and stayed spent when its connection was refused. Change: its end returns it, to the moment at which it was taken; one that has left the window needs no refund.

--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -35,6 +35,7 @@
 	firstEventAt time.Time // when the first event arrived, or zero
 	begunStamp   uint64    // of the crash registry, before the answer began
 	wroteAnswer  bool      // the answer is a success and complete beyond doubt
+	paidAt       time.Time // when a retry of the budget was spent on it, or zero
 	hasAcquitted bool      // the answer has cleared the parts of the prompt
 
 	hasWon      bool // the current attempt has been canceled for it; guarded by run.mu
@@ -225,6 +226,9 @@
 			"parts", r.request.describeParts(), "ms", time.Since(a.startedAt).Milliseconds())
 	}
 	res.Release()
+	if _, ok := o.(reply.NotSent); ok && !a.paidAt.IsZero() {
+		r.executor.budget.Refund(r.request.Service.Name, a.paidAt)
+	}
 	r.record(o)
 	r.updateSuspicion(a, o)
 	a.cancel(nil)
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -26,6 +26,8 @@
 	Rate(service string) float64
 	// Take spends one retry and reports whether the budget held one.
 	Take(service string) bool
+	// Refund returns a retry that was spent at a time on an attempt that reached no upstream.
+	Refund(service string, takenAt time.Time)
 }
 
 // Executor executes callers' requests on one node.
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -43,6 +43,13 @@
 func (f *fakeFleet) RecordFirstAttempt(string)          {}
 func (f *fakeFleet) Rate(string) float64                { return 0 }
 
+// Refund implements RetryBudget.
+func (f *fakeFleet) Refund(string, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries++
+}
+
 func (f *fakeFleet) Take(string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/proxy/replace.go
+++ b/core/proxy/replace.go
@@ -33,11 +33,14 @@
 		r.setBudgetDenied()
 		return false
 	}
+	paidAt := time.Now()
 	a := r.newAttempt(res, silent)
 	if a == nil {
 		res.Cancel()
+		r.executor.budget.Refund(r.request.Service.Name, paidAt)
 		return false
 	}
+	a.paidAt = paidAt
 	r.excludeUpstream(faulty.ID)
 	r.executor.log.Info("attempt-doubled", "request", r.request.ID, "upstream", faulty.ID, "cause", cause,
 		"silent-ms", time.Since(silent.startedAt).Milliseconds())
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -218,6 +218,17 @@
 	return true
 }
 
+// Refund returns the retry that was taken at a time for an attempt that reached no upstream. One that has left the window since
+// needs no refund.
+func (w *Window) Refund(service string, takenAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sb, now := w.serviceBudget(service), w.now()
+	if sb.retries.remove(takenAt, now, w.window) {
+		sb.balance = min(max(w.nodeBurst(), 1), sb.balance+1)
+	}
+}
+
 // slotsPerWindow is the resolution of a rolling count.
 const slotsPerWindow = 10
 
@@ -247,6 +258,17 @@
 	r.counts[r.slot%int64(len(r.counts))]++
 }
 
+// remove removes an event that was added at a time, and reports whether it was still counted.
+func (r *rollingCount) remove(at, now time.Time, window time.Duration) bool {
+	r.advance(now, window)
+	slot := at.UnixNano() / int64(window/slotsPerWindow)
+	if slot > r.slot || r.slot-slot >= int64(len(r.counts)) || r.counts[slot%int64(len(r.counts))] == 0 {
+		return false
+	}
+	r.counts[slot%int64(len(r.counts))]--
+	return true
+}
+
 // advance empties the slots that have left the window.
 func (r *rollingCount) advance(now time.Time, window time.Duration) {
 	slot := now.UnixNano() / int64(window/slotsPerWindow)
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -72,7 +72,11 @@
 				b.RecordFirstAttempt("s")
 				requestTimes = append(requestTimes, now)
 			} else if b.Take("s") {
-				retryTimes = append(retryTimes, now)
+				if rapid.IntRange(0, 4).Draw(t, "refund") == 0 { // it reached no upstream
+					b.Refund("s", now)
+				} else {
+					retryTimes = append(retryTimes, now)
+				}
 			}
 			count := func(times []time.Time, from, to time.Time) float64 {
 				n := 0.0
@@ -143,3 +147,31 @@
 		})
 	}
 }
+
+// TestRefundedRetryMayBeSpentAgain checks that a retry that reached no upstream is returned once, and not after its window.
+func TestRefundedRetryMayBeSpentAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(0.2, 0, 10*time.Second)
+	w.now = func() time.Time { return now }
+	w.startedAt = now.Add(-time.Minute)
+	w.SetNodes(1)
+	for range 6 {
+		w.RecordFirstAttempt("s")
+	}
+	if !w.Take("s") || w.Take("s") {
+		t.Fatal("six requests at a share of 0.2 do not earn exactly one retry")
+	}
+	takenAt := now
+	now = now.Add(time.Second)
+	w.Refund("s", takenAt)
+	w.Refund("s", takenAt)
+	if !w.Take("s") || w.Take("s") {
+		t.Error("a refunded retry can't be spent exactly once more")
+	}
+	takenAt = now
+	now = now.Add(time.Minute)
+	w.Refund("s", takenAt)
+	if got := w.Totals("s"); got.Retries != 0 {
+		t.Errorf("%d retries a minute later, want none", got.Retries)
+	}
+}
