Let the relays of a data centre take turns, and pass doubts on only while they are news

By arithmetic a relay of 66 members sends each of them some 4 KB of claims in each period, 13 Mbit/s of its 20, and 64 doubts add 1.6 KB to each.

Change: where a relay has 24 members or more, the two relays take turns in sending a member the sum of all others; doubts are passed on for 1.5 s after their latest refusal or answer, at most 32.

--- a/core/board/doubt.go
+++ b/core/board/doubt.go
@@ -29,7 +29,9 @@
 	baseHold        = 300 * time.Millisecond // that an upstream is left alone after its first refusal
 	maxHold         = 3 * time.Second
 	maxHoldDoubling = 4
-	maxDoubts       = 64 // that are passed on, the latest ones
+	maxDoubts       = 32 // that are passed on, the latest ones
+	// passOnTime is how long what is new of a doubt is passed on.
+	passOnTime = 1500 * time.Millisecond
 )
 
 // doubtState is the doubt on one upstream in this node's time.
@@ -105,14 +107,19 @@
 // endDoubt ends the doubt on an upstream whose state in the store's list has changed since the refusals.
 func (s *upstreamState) endDoubt() { s.doubt = doubtState{} }
 
-// Doubts returns what this node knows of upstreams that refused requests, by the hashes of their keys.
+// isNews reports whether other nodes may not know of the latest refusal or answer yet.
+func (d *doubtState) isNews(now time.Time) bool {
+	return !d.refusedAt.IsZero() && now.Sub(later(d.refusedAt, d.answeredAt)) <= passOnTime
+}
+
+// Doubts returns what this node has learnt of late of upstreams that refused requests, by the hashes of their keys.
 func (b *Board) Doubts() map[uint32]Doubt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	var states []*upstreamState
 	for _, s := range b.states {
-		if !s.doubt.refusedAt.IsZero() && now.Sub(s.doubt.refusedAt) <= doubtTTL {
+		if s.doubt.isNews(now) {
 			states = append(states, s)
 		}
 	}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -111,6 +111,7 @@
 		total.add(d, 1)
 	}
 	total.add(own, 1)
+	ownRank := slices.Index(relays[m.config.DataCentre].active, m.config.Node)
 	var out []datagram
 	dataCentreSum := total.digest(own, wire.Scope_DATA_CENTRE, own.GetRules(), own.GetList())
 	for dataCentre, set := range relays {
@@ -125,7 +126,7 @@
 	}
 	for _, d := range members {
 		total.add(d, -1)
-		if n, ok := others[d.GetNode()]; ok {
+		if n, ok := others[d.GetNode()]; ok && m.isTurnOf(d.GetNode(), own.GetSequence(), len(members), ownRank) {
 			out = append(out, datagram{n.Address, total.digest(own, wire.Scope_OTHERS, own.GetRules(), own.GetList())})
 		}
 		total.add(d, 1)
@@ -135,6 +136,16 @@
 	return out
 }
 
+// manyMembers is the number of members from which on the relays of a data centre take turns in sending each of them the sum of
+// all others, which may have a claim for each upstream: two sums to 60 members in each period fill a link of 20 Mbit/s.
+const manyMembers = 24
+
+// isTurnOf reports whether it is the turn of this relay, by its rank among those of its data centre, to send a member the sum of
+// all others.
+func (m *Mesh) isTurnOf(member string, sequence uint32, members, rank int) bool {
+	return members < manyMembers || (NameHash(member)+sequence+uint32(rank))%relaysPerDataCentre == 0
+}
+
 // liveDigests returns the latest digests of the live members of this data centre, and the latest sum of each other data
 // centre.
 func (m *Mesh) liveDigests() (members, sums []*wire.Digest) {
