--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -12,13 +12,13 @@
 // have. The others poll only if they learn of something newer, or if the latest confirmation is so old that a poll which begins
 // later might end too late.
 const (
-	dutyInterval      = 100 * time.Millisecond // between looks at the evidence
-	readerPauseShare  = 0.1                    // of the bound on changes, between the polls of a node that reads for others
-	deadlineSpread    = 0.2                    // share of the deadline by which nodes differ, lest all poll at once
-	startupNodesDelay = 4 * time.Second        // between polls for the nodes soon after the start, where these are many
+	dutyInterval     = 100 * time.Millisecond // between looks at the evidence
+	readerPauseShare = 0.1                    // of the bound on changes, between the polls of a node that reads for others
+	deadlineSpread   = 0.2                    // share of the deadline by which nodes differ, lest all poll at once
+	manyNodesPause   = 4 * time.Second        // least time between polls for the nodes where these are many
 )
 
-// delegates reports whether other nodes poll the store in place of this one.
+// delegates reports whether this node leaves polling the store to others.
 func (n *Node) delegates() bool { return n.mesh.LeavesReading() }
 
 // evidence returns what the other nodes say of the store.
@@ -34,7 +34,8 @@
 	return n.mesh.EvidenceFor(rulesVersion, max(n.coveredList.Load(), v.List.Version()))
 }
 
-// confirmedAt returns when the store last confirmed that this node has nothing older than it has, as far as this node knows.
+// confirmedAt returns when the store last confirmed that it has nothing newer on a topic than this node, to this node or to
+// another one whose word reached it.
 func (n *Node) confirmedAt(t store.Topic) time.Time {
 	evidence := n.evidence()
 	n.storeMu.Lock()
@@ -64,7 +65,7 @@
 	case n.mesh.ReadsForMembers() && f.topic != store.Nodes:
 		sleep(ctx, time.Duration(readerPauseShare*float64(n.changeBound())))
 	case f.topic == store.Nodes && len(n.otherNodes()) >= mesh.RelayThreshold:
-		sleep(ctx, max(startupNodesDelay, n.pauseFor(f.topic)))
+		sleep(ctx, max(manyNodesPause, n.pauseFor(f.topic)))
 	default:
 		sleep(ctx, n.pauseFor(f.topic))
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -99,7 +99,7 @@
 	crashes CrashRegistry
 	retries RetryBudget
 
-	isReader atomic.Bool // this node reads the store for others, as of the latest period
+	role atomic.Pointer[role] // as of the latest period
 
 	mu          sync.Mutex
 	peers       map[string]*peerState // by node name
--- a/io/mesh/readers.go
+++ b/io/mesh/readers.go
@@ -16,6 +16,24 @@
 	RulesVersion, ListVersion uint64
 }
 
+// role is what a node does for others.
+type role struct {
+	isRelay  bool // it adds up the digests of its data centre
+	isReader bool // it reads the store
+}
+
+// setRole sets what this node does for others in this period.
+func (m *Mesh) setRole(r role) {
+	if old := m.role.Swap(&r); old == nil && r != (role{}) || old != nil && *old != r {
+		m.log.Info("role", "relay", r.isRelay, "reads-store-for-others", r.isReader)
+	}
+}
+
+func (m *Mesh) isReader() bool {
+	r := m.role.Load()
+	return r != nil && r.isReader
+}
+
 // maxReaders is how many nodes read the store for all others. Their word reaches every data centre over the relays.
 const maxReaders = 3
 
@@ -40,10 +58,10 @@
 
 // LeavesReading reports whether other nodes read the store in this one's place. Where the nodes exchange their states directly,
 // each reads for itself.
-func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.isReader.Load() }
+func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.isReader() }
 
 // ReadsForMembers reports whether other nodes leave polling the store to this one.
-func (m *Mesh) ReadsForMembers() bool { return m.isReader.Load() }
+func (m *Mesh) ReadsForMembers() bool { return m.isReader() }
 
 // EvidenceFor returns what the other nodes say of the store to a node with the given versions. A confirmation counts only from
 // a node that has nothing newer, with the age that it had on arrival.
--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -17,7 +17,7 @@
 	for _, m := range g.nodes {
 		m.storeState = func() StoreState {
 			state := StoreState{RulesVersion: 3, ListVersion: 5}
-			if m.isReader.Load() && !m.isCutFromStore {
+			if m.isReader() && !m.isCutFromStore {
 				state.RulesConfirmedAt, state.ListConfirmedAt = time.Now(), time.Now()
 				return state
 			}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -38,12 +38,12 @@
 // datagrams returns the datagrams of one period. Few nodes send their digests to each other directly. Many nodes send
 // them to the relays of their data centre, which add them up, exchange the sums with the relays of other data centres
 // and send each member of their own data centre the sum of all other nodes.
-func (m *Mesh) datagrams(own *wire.Digest, others map[string]Node) []datagram {
+func (m *Mesh) datagrams(digest *wire.Digest, others map[string]Node) []datagram {
 	var out []datagram
 	if len(others) < RelayThreshold {
-		m.isReader.Store(false)
+		m.setRole(role{})
 		for _, n := range others {
-			out = append(out, datagram{n.Address, own})
+			out = append(out, datagram{n.Address, digest})
 		}
 		return out
 	}
@@ -51,12 +51,16 @@
 	ownRelays := relays[m.config.DataCentre]
 	for _, name := range ownRelays.receivers {
 		if name != m.config.Node {
-			out = append(out, datagram{others[name].Address, own})
+			out = append(out, datagram{others[name].Address, digest})
 		}
 	}
-	m.isReader.Store(slices.Contains(m.readersOf(relays), m.config.Node))
-	if slices.Contains(ownRelays.active, m.config.Node) {
-		out = append(out, m.relayDatagrams(own, others, relays)...)
+	own := role{
+		isRelay:  slices.Contains(ownRelays.active, m.config.Node),
+		isReader: slices.Contains(m.readersOf(relays), m.config.Node),
+	}
+	m.setRole(own)
+	if own.isRelay {
+		out = append(out, m.relayDatagrams(digest, others, relays)...)
 	}
 	return out
 }
