Let the word of the store hang on revisions of the store, with its era

(1) The version of a list is that of its newest row; a node that has just read all rows does not know of removals after that row, and its word confirmed to others lists without these removals. (2) A poll counted before its rows were in force, so that for a moment the word stood beside the older version. (3) After a drill, in which the store comes back from an older copy, versions go back: a node that leaves polling to others would not have noticed, as it does not poll.

Words are recorded once their rows are in force.

--- a/core/store/feed.go
+++ b/core/store/feed.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -26,14 +27,25 @@
 	Version uint64 // of the row
 }
 
+// Revision is a state of the store that a feed has reached.
+type Revision struct {
+	Era    uint64 // rises when the store comes back from an older copy, in which numbers are given out again
+	Number uint64 // of the newest change of any table
+}
+
+// Compare returns a negative number if a revision is older than another one, 0 if they are equal, and a positive one otherwise.
+func (r Revision) Compare(o Revision) int {
+	return cmp.Or(cmp.Compare(r.Era, o.Era), cmp.Compare(r.Number, o.Number))
+}
+
 // Feed reports changes of topics. Its errors are *Error, with cause Compacted if the history no longer reaches back
-// far enough.
+// far enough, or to another era.
 type Feed interface {
-	// Snapshot returns all rows of a topic and the feed version that they reflect.
-	Snapshot(ctx context.Context, t Topic) ([]FeedRow, uint64, error)
-	// Changes waits for rows that changed after a feed version and returns them with the version to continue from. The
+	// Snapshot returns all rows of a topic and the revision that they reflect.
+	Snapshot(ctx context.Context, t Topic) ([]FeedRow, Revision, error)
+	// Changes waits for rows that changed after a revision and returns them with the revision to continue from. The
 	// context bounds the call, also where its connection has gone silent.
-	Changes(ctx context.Context, t Topic, since uint64, wait time.Duration) ([]FeedRow, uint64, error)
+	Changes(ctx context.Context, t Topic, since Revision, wait time.Duration) ([]FeedRow, Revision, error)
 	// Write writes a row of the topic Nodes, or removes it if the value is nil.
 	Write(ctx context.Context, key string, value []byte) error
 }
--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -41,7 +41,7 @@
 // follower is the state of reading one topic.
 type follower struct {
 	topic       store.Topic
-	since       uint64
+	since       store.Revision
 	hasSnapshot bool
 	failures    int  // failed calls in a row
 	leaves      bool // this node leaves polling to others
@@ -53,7 +53,6 @@
 	f := &follower{topic: t}
 	for ctx.Err() == nil {
 		f.leaves = n.delegates()
-		evidence := n.evidence()
 		ch, err := n.readChange(ctx, f)
 		switch {
 		case errors.Is(err, errStoreSuspected):
@@ -73,15 +72,12 @@
 			}
 			continue
 		}
-		n.recordSuccess(t, evidence)
+		n.recordSuccess(t)
 		f.failures, f.isUrgent = 0, false
-		f.hasSnapshot, f.since = true, ch.version
-		ch.version = newestVersion(ch)
-		if len(ch.rows) > 0 || ch.snapshot {
-			select {
-			case changes <- ch:
-			case <-ctx.Done():
-			}
+		f.hasSnapshot, f.since = true, ch.word.Through
+		select {
+		case changes <- ch:
+		case <-ctx.Done():
 		}
 		n.pause(ctx, f)
 	}
@@ -90,11 +86,9 @@
 
 // readChange reads a topic, or polls once for its changes. Its error is errStoreSuspected if the poll was interrupted.
 func (n *Node) readChange(ctx context.Context, f *follower) (change, error) {
-	ch := change{topic: f.topic, snapshot: !f.hasSnapshot, fromStore: true}
-	var err error
 	if !f.hasSnapshot {
-		ch.rows, ch.version, err = n.platform.Feed.Snapshot(ctx, f.topic)
-		return ch, err
+		rows, through, err := n.platform.Feed.Snapshot(ctx, f.topic)
+		return newChange(f, rows, through), err
 	}
 	n.stats.Count("store-polls-" + f.topic.String())
 	p := n.pollFor(f)
@@ -103,11 +97,21 @@
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
 	n.polls.begin(f.topic, interrupt)
-	ch.rows, ch.version, err = n.platform.Feed.Changes(ctx, f.topic, f.since, p.wait)
+	rows, through, err := n.platform.Feed.Changes(ctx, f.topic, f.since, p.wait)
 	if err != nil && errors.Is(context.Cause(ctx), errStoreSuspected) {
-		return ch, errStoreSuspected
+		return change{}, errStoreSuspected
 	}
-	return ch, err
+	return newChange(f, rows, through), err
+}
+
+// newChange returns the answer of the store on a topic, which reflects a revision.
+func newChange(f *follower, rows []store.FeedRow, through store.Revision) change {
+	ch := change{topic: f.topic, rows: rows, snapshot: !f.hasSnapshot, fromStore: true, version: newestVersion(rows)}
+	ch.word = mesh.Word{Through: through, Changed: through, ConfirmedAt: time.Now()}
+	if !ch.snapshot { // a snapshot does not tell when a row was removed
+		ch.word.Changed.Number = ch.version
+	}
+	return ch
 }
 
 // polls holds the polls in flight.
@@ -136,11 +140,11 @@
 	}
 }
 
-// newestVersion returns the version of the newest row of a change. Unlike the version of the store, which grows with
-// the rows of other topics, it is the same for all nodes that have read the row.
-func newestVersion(ch change) uint64 {
+// newestVersion returns the version of the newest row. Unlike the version of the store, which grows with the rows of other
+// topics, it is the same for all nodes that have read the row.
+func newestVersion(rows []store.FeedRow) uint64 {
 	newest := uint64(0)
-	for _, row := range ch.rows {
+	for _, row := range rows {
 		newest = max(newest, row.Version)
 	}
 	return newest
@@ -158,7 +162,7 @@
 	p := poll{margin: callMargin(bound, f.failures)}
 	switch {
 	case f.isUrgent || f.leaves && f.topic != store.Nodes:
-	case f.topic == store.Configuration && n.mesh.ReadsForMembers():
+	case f.topic == store.Configuration && n.mesh.ReadsForOthers():
 		p.wait = bound / listWaitDivisor
 	case f.topic == store.Configuration:
 		p.wait = configWait
@@ -230,16 +234,10 @@
 	}
 }
 
-// recordSuccess records a successful call of the store, before which the other nodes said what is given.
-func (n *Node) recordSuccess(t store.Topic, before mesh.Evidence) {
+// recordSuccess records a successful call of the store.
+func (n *Node) recordSuccess(t store.Topic) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	switch t {
-	case store.Configuration:
-		n.coveredRules.Store(max(n.coveredRules.Load(), before.RulesVersion))
-	case store.Upstreams:
-		n.coveredList.Store(max(n.coveredList.Load(), before.ListVersion))
-	}
 	n.storeReadBefore[t], n.storeReadAt[t] = n.storeReadAt[t], time.Now()
 	if t == store.Upstreams {
 		n.outage.ReadSucceeded(time.Now())
@@ -350,10 +348,12 @@
 func (n *Node) forwardState(ctx context.Context, fetched mesh.StoreState, changes chan<- change) {
 	var list []change
 	if len(fetched.RawRules) > 0 {
-		list = append(list, change{topic: store.Configuration, rows: []store.FeedRow{{Value: fetched.RawRules}}})
+		list = append(list, change{topic: store.Configuration, rows: []store.FeedRow{{Value: fetched.RawRules}},
+			word: fetched.RulesWord})
 	}
 	if fetched.ListVersion > 0 {
-		list = append(list, change{topic: store.Upstreams, rows: fetched.Rows, version: fetched.ListVersion, snapshot: true})
+		list = append(list, change{topic: store.Upstreams, rows: fetched.Rows, version: fetched.ListVersion, snapshot: true,
+			word: fetched.ListWord})
 	}
 	if len(fetched.NodeRows) > 0 {
 		list = append(list, change{topic: store.Nodes, rows: fetched.NodeRows})
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -81,10 +81,8 @@
 	storeReadBefore map[store.Topic]time.Time
 	outage          *fleet.Outage
 	polls           polls
-	// covered holds the newest versions of other nodes before the latest answer of the store, which showed that this node has all
-	// that they had.
-	coveredRules, coveredList atomic.Uint64
-	plannerSeenAt             atomic.Int64 // when another node was last known to hold the lease, in ns since the start
+	words           map[store.Topic]mesh.Word // of the store to this node, and to nodes that this one fetched from
+	plannerSeenAt   atomic.Int64              // when another node was last known to hold the lease, in ns since the start
 }
 
 // Option configures a Node.
@@ -104,8 +102,8 @@
 		stats:        stats.New(),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeFailing: make(map[store.Topic]bool), storeReadAt: make(map[store.Topic]time.Time),
-		storeReadBefore: make(map[store.Topic]time.Time),
-		outage:          fleet.NewOutage(c.HeartbeatInterval, expiryGrace),
+		storeReadBefore: make(map[store.Topic]time.Time), words: make(map[store.Topic]mesh.Word),
+		outage: fleet.NewOutage(c.HeartbeatInterval, expiryGrace),
 	}
 	for _, o := range opts {
 		o(n)
@@ -154,17 +152,25 @@
 
 // storeState returns the store's data that this node has.
 func (n *Node) storeState() mesh.StoreState {
+	// In this order: the data hold at least what the words cover.
+	rulesWord, listWord := n.newestWord(store.Configuration), n.newestWord(store.Upstreams)
 	v := n.view.Load()
 	if v == nil {
 		return mesh.StoreState{}
 	}
 	_, isPlanner := n.lease.Valid()
-	state := mesh.StoreState{ListVersion: v.List.Version(), RawRules: v.RawRules, Rows: v.Rows, NodeRows: v.NodeRows, IsPlanner: isPlanner}
+	state := mesh.StoreState{RawRules: v.RawRules, Rows: v.Rows, NodeRows: v.NodeRows, IsPlanner: isPlanner,
+		RulesWord: rulesWord, ListWord: listWord}
+	state.RulesVersion, state.ListVersion = v.versions()
+	return state
+}
+
+// versions returns the versions of the configuration, or 0 for none, and of the list of upstreams.
+func (v *View) versions() (rulesVersion, listVersion uint64) {
 	if v.Rules != nil {
-		state.RulesVersion = v.Rules.Version()
+		rulesVersion = v.Rules.Version()
 	}
-	state.RulesConfirmedAt, state.ListConfirmedAt = n.confirmedAt(store.Configuration), n.confirmedAt(store.Upstreams)
-	return state
+	return rulesVersion, v.List.Version()
 }
 
 // otherNodes returns the other nodes in the store's list.
@@ -189,8 +195,11 @@
 
 // Versions returns the versions of the configuration and of the list of upstreams.
 func (n *Node) Versions() (rulesVersion, listVersion uint64) {
-	state := n.storeState()
-	return state.RulesVersion, state.ListVersion
+	v := n.view.Load()
+	if v == nil {
+		return 0, 0
+	}
+	return v.versions()
 }
 
 // maxConns returns this node's share of the connections to one upstream of a service, or 0 for no limit.
@@ -205,11 +214,11 @@
 // isConfigCurrent reports whether the configuration is known to be the newest, apart from changes so recent that they
 // need not be in force yet. While the poll for it waits, the polls for the list show whether the store is reached.
 func (n *Node) isConfigCurrent() bool {
-	n.storeMu.Lock()
-	defer n.storeMu.Unlock()
-	if time.Since(n.evidence().RulesConfirmedAt) < n.settings.Load().ApplyBound {
+	if time.Since(n.evidence(store.Configuration).ConfirmedAt) < n.settings.Load().ApplyBound {
 		return true
 	}
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
 	return !n.storeFailing[store.Configuration] &&
 		time.Since(n.storeReadAt[store.Configuration]) < configWait+n.settings.Load().ApplyBound &&
 		time.Since(n.storeReadAt[store.Upstreams]) < n.settings.Load().ApplyBound
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -21,40 +21,59 @@
 // delegates reports whether this node leaves polling the store to others.
 func (n *Node) delegates() bool { return n.mesh.LeavesReading() }
 
-// evidence returns what the other nodes say of the store.
-func (n *Node) evidence() mesh.Evidence {
-	v := n.view.Load()
-	if v == nil {
-		return mesh.Evidence{}
+// addWord records the word of the store that came with a change, once the change is in force here.
+func (n *Node) addWord(ch change) {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	n.words[ch.topic] = joinWords(n.words[ch.topic], ch.word)
+}
+
+// joinWords returns what a node knows that has all changes of two words. Of two eras of the store the later one counts.
+func joinWords(a, b mesh.Word) mesh.Word {
+	switch {
+	case b.ConfirmedAt.IsZero() || b.Through.Era < a.Through.Era:
+		return a
+	case b.Through.Era > a.Through.Era:
+		return b
+	}
+	if b.Through.Compare(a.Through) > 0 {
+		a.Through = b.Through
+	}
+	if b.Changed.Compare(a.Changed) > 0 {
+		a.Changed = b.Changed
 	}
-	rulesVersion := n.coveredRules.Load()
-	if v.Rules != nil {
-		rulesVersion = max(rulesVersion, v.Rules.Version())
+	if b.ConfirmedAt.After(a.ConfirmedAt) {
+		a.ConfirmedAt = b.ConfirmedAt
 	}
-	return n.mesh.EvidenceFor(rulesVersion, max(n.coveredList.Load(), v.List.Version()))
+	return a
 }
 
-// confirmedAt returns when the store last confirmed that it has nothing newer on a topic than this node, to this node or to
-// another one whose word reached it.
-func (n *Node) confirmedAt(t store.Topic) time.Time {
-	evidence := n.evidence()
+// evidence returns what the other nodes say of the store on a topic.
+func (n *Node) evidence(t store.Topic) mesh.Evidence {
 	n.storeMu.Lock()
-	defer n.storeMu.Unlock()
-	readAt := n.storeReadAt[t]
+	rules, list := n.words[store.Configuration].Through, n.words[store.Upstreams].Through
+	n.storeMu.Unlock()
+	onRules, onList := n.mesh.EvidenceFor(rules, list)
 	switch t {
 	case store.Configuration:
-		return laterOf(readAt, evidence.RulesConfirmedAt)
+		return onRules
 	case store.Upstreams:
-		return laterOf(readAt, evidence.ListConfirmedAt)
+		return onList
 	}
-	return readAt
+	return mesh.Evidence{}
 }
 
-func laterOf(t, u time.Time) time.Time {
-	if t.After(u) {
-		return t
+// newestWord returns the newest word of the store on a topic, to this node or to another one of whose word this node has all
+// changes.
+func (n *Node) newestWord(t store.Topic) mesh.Word {
+	evidence := n.evidence(t)
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	w := n.words[t]
+	if evidence.ConfirmedAt.After(w.ConfirmedAt) {
+		w.ConfirmedAt = evidence.ConfirmedAt
 	}
-	return u
+	return w
 }
 
 // pause waits between two polls for a topic's changes.
@@ -62,7 +81,7 @@
 	switch {
 	case n.delegates() && f.topic != store.Nodes:
 		n.awaitDuty(ctx, f)
-	case n.mesh.ReadsForMembers() && f.topic != store.Nodes:
+	case n.mesh.ReadsForOthers() && f.topic != store.Nodes:
 		sleep(ctx, time.Duration(readerPauseShare*float64(n.changeBound())))
 	case f.topic == store.Nodes && len(n.otherNodes()) >= mesh.RelayThreshold:
 		sleep(ctx, max(manyNodesPause, n.pauseFor(f.topic)))
@@ -114,17 +133,11 @@
 
 // mustPoll reports whether this node must poll for a topic itself.
 func (n *Node) mustPoll(f *follower, deadline time.Duration) bool {
-	if time.Since(n.confirmedAt(f.topic)) >= deadline {
+	if time.Since(n.newestWord(f.topic).ConfirmedAt) >= deadline {
 		return true
 	}
-	evidence := n.evidence()
-	switch f.topic {
-	case store.Configuration:
-		return evidence.RulesBehind && f.failures == 0
-	case store.Upstreams:
-		return evidence.ListBehind && f.failures == 0 && n.sinceRead(f.topic) >= deadline
-	}
-	return false
+	isLate := f.topic == store.Configuration || n.sinceRead(f.topic) >= deadline
+	return isLate && f.failures == 0 && n.evidence(f.topic).IsBehind
 }
 
 // sinceRead returns the time since the store's latest answer on a topic to this node.
--- /dev/null
+++ b/io/entry/readers_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/mesh"
+)
+
+// read returns the store's answer to a poll for the list that reflects a revision.
+func read(hasSnapshot bool, through store.Revision, rows ...store.FeedRow) change {
+	return newChange(&follower{topic: store.Upstreams, hasSnapshot: hasSnapshot}, rows, through)
+}
+
+func revision(number uint64) store.Revision { return store.Revision{Era: 1, Number: number} }
+
+// TestWordOfTheStoreCoversWhatTheNodeHas checks what a node may say of the store after its reads: others that have all changes up
+// to the newest one of which it knows rely on it.
+func TestWordOfTheStoreCoversWhatTheNodeHas(t *testing.T) {
+	row := func(version uint64) store.FeedRow { return store.FeedRow{Key: "u", Version: version} }
+	for _, tc := range []struct {
+		name             string
+		changes          []change
+		through, changed store.Revision
+	}{
+		{"no read", nil, store.Revision{}, store.Revision{}},
+		{"all rows, of which some may have been removed after the newest that is left",
+			[]change{read(false, revision(9), row(5))}, revision(9), revision(9)},
+		{"a change", []change{read(false, revision(9), row(5)), read(true, revision(14), row(12))}, revision(14), revision(12)},
+		{"no change", []change{read(false, revision(9), row(5)), read(true, revision(20))}, revision(20), revision(9)},
+		{"the store comes back from an older copy",
+			[]change{read(false, revision(90), row(80)), read(false, store.Revision{Era: 2, Number: 40}, row(30))},
+			store.Revision{Era: 2, Number: 40}, store.Revision{Era: 2, Number: 40}},
+		{"another node's list", []change{read(false, revision(9), row(5)),
+			{topic: store.Upstreams, rows: []store.FeedRow{row(12)}, version: 12, snapshot: true,
+				word: mesh.Word{Through: revision(15), Changed: revision(12), ConfirmedAt: time.Now()}}}, revision(15), revision(12)},
+		{"another node's list that is older", []change{read(false, revision(9), row(5)), read(true, revision(14), row(12)),
+			{topic: store.Upstreams, rows: []store.FeedRow{row(5)}, version: 5, snapshot: true,
+				word: mesh.Word{Through: revision(99), Changed: revision(98), ConfirmedAt: time.Now()}}}, revision(14), revision(12)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestControl()
+				for _, ch := range tc.changes {
+					c.handle(ch)
+				}
+				got := c.node.storeState().ListWord
+				if c.node.view.Load() == nil {
+					got = c.node.newestWord(store.Upstreams)
+				}
+				if got.Through != tc.through || got.Changed != tc.changed {
+					t.Errorf("the word covers %+v and changes up to %+v, want %+v and %+v", got.Through, got.Changed, tc.through,
+						tc.changed)
+				}
+			})
+		})
+	}
+}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -31,9 +31,10 @@
 type change struct {
 	topic     store.Topic
 	rows      []store.FeedRow
-	version   uint64
-	snapshot  bool // rows are all rows of the topic
-	fromStore bool // read from the store, not fetched from another node
+	version   uint64    // of the newest row
+	word      mesh.Word // of the store, which covers the rows
+	snapshot  bool      // rows are all rows of the topic
+	fromStore bool      // read from the store, not fetched from another node
 }
 
 // control maintains the node's copy of the store's data; one goroutine runs it.
@@ -71,7 +72,8 @@
 	for {
 		select {
 		case ch := <-changes:
-			c.apply(ch)
+			c.handle(ch)
+			continue
 		case <-tick.C:
 			if !c.removeExpired() {
 				continue
@@ -83,8 +85,19 @@
 	}
 }
 
-// apply applies a change of any topic.
-func (c *control) apply(ch change) {
+// handle puts a change in force, and then records the word of the store that came with it.
+func (c *control) handle(ch change) {
+	if len(ch.rows) > 0 || ch.snapshot {
+		if !c.apply(ch) {
+			return
+		}
+		c.publish()
+	}
+	c.node.addWord(ch)
+}
+
+// apply applies a change of any topic, and returns false if it is older than what the node has.
+func (c *control) apply(ch change) bool {
 	switch ch.topic {
 	case store.Configuration:
 		for _, row := range ch.rows {
@@ -92,7 +105,7 @@
 		}
 	case store.Upstreams:
 		if ch.version < c.listVersion && !(ch.snapshot && ch.fromStore) {
-			return // fetched from another node, and older than the list here
+			return false // fetched from another node, and older than the list here
 		}
 		// The newest row of a snapshot may be older than a row that has been removed since.
 		c.listVersion = max(c.listVersion, ch.version)
@@ -105,6 +118,7 @@
 			c.applyNodeRow(row)
 		}
 	}
+	return true
 }
 
 // applyConfiguration puts a newer configuration in force; one that can't be decoded changes nothing.
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -9,7 +9,6 @@
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
-	"rhubarbspread/io/mesh"
 
 	"github.com/go-logr/logr"
 )
@@ -20,10 +19,10 @@
 		NewEngines:     func(*hop.Pool) Engines { return nil },
 		DecodeUpstream: func(id string, _ []byte) (*fleet.Upstream, error) { return &fleet.Upstream{ID: id, Service: "s"}, nil },
 	}, logr.Discard())
-	n.recordSuccess(store.Upstreams, mesh.Evidence{})
+	n.recordSuccess(store.Upstreams)
 	n.recordFailure(store.Upstreams, errors.New("no answer"))
 	time.Sleep(2 * time.Second)
-	n.recordSuccess(store.Upstreams, mesh.Evidence{})
+	n.recordSuccess(store.Upstreams)
 	return newControl(n)
 }
 
--- a/io/mesh/fetch.go
+++ b/io/mesh/fetch.go
@@ -88,7 +88,8 @@
 	}
 	return StoreState{
 		RawRules: reply.GetConfiguration(), ListVersion: reply.GetList(), Rows: decodeRows(reply.GetEntries()),
-		NodeRows: decodeRows(reply.GetNodes()),
+		NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord()),
+		ListWord: decodeWord(reply.GetListWord()),
 	}, nil
 }
 
@@ -117,7 +118,7 @@
 // News returns the data that is newer here than the versions in the request.
 func (s *server) News(_ context.Context, in *wire.NewsRequest) (*wire.NewsReply, error) {
 	state := s.mesh.storeState()
-	out := &wire.NewsReply{}
+	out := &wire.NewsReply{RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord)}
 	if state.RulesVersion > in.GetRules() {
 		out.Configuration = state.RawRules
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -39,9 +39,8 @@
 	Rows         []store.FeedRow // entries of the upstreams
 	NodeRows     []store.FeedRow // rows that nodes write
 	IsPlanner    bool            // the node holds the placement lease
-	// When the store last confirmed that it has nothing newer, to this node or to another one whose word came with its age; zero
-	// if unknown.
-	RulesConfirmedAt, ListConfirmedAt time.Time
+	RulesWord    Word            // on the configuration
+	ListWord     Word            // on the list
 }
 
 // CrashRegistry receives the marks that other nodes set on requests that crash upstreams.
@@ -69,8 +68,8 @@
 	ListVersion  uint64
 	LastSeen     time.Time // when the latest datagram arrived
 	IsPlanner    bool      // it holds the placement lease
-	// When the store last confirmed its versions, in this node's time; zero if unknown.
-	RulesConfirmedAt, ListConfirmedAt time.Time
+	RulesWord    Word      // on the configuration
+	ListWord     Word      // on the list
 }
 
 // Node is the location of another node.
@@ -223,13 +222,9 @@
 
 // peerOf returns a node as a datagram that has just arrived describes it.
 func peerOf(d *wire.Digest) Peer {
-	p := Peer{Name: d.GetNode(), DataCentre: d.GetDataCentre(), RPCAddress: d.GetQuestions(), RulesVersion: d.GetRules(),
-		ListVersion: d.GetList(), LastSeen: time.Now(), IsPlanner: d.GetPlans()}
-	if d.GetConfirms() {
-		p.RulesConfirmedAt = p.LastSeen.Add(-milliseconds(d.GetRulesAgeMs()))
-		p.ListConfirmedAt = p.LastSeen.Add(-milliseconds(d.GetListAgeMs()))
-	}
-	return p
+	return Peer{Name: d.GetNode(), DataCentre: d.GetDataCentre(), RPCAddress: d.GetQuestions(), RulesVersion: d.GetRules(),
+		ListVersion: d.GetList(), LastSeen: time.Now(), IsPlanner: d.GetPlans(),
+		RulesWord: decodeWord(d.GetRulesWord()), ListWord: decodeWord(d.GetListWord())}
 }
 
 // limitsOf returns the limits of upstreams that a digest states.
@@ -363,11 +358,7 @@
 		Address: m.config.DatagramAddress, Questions: m.config.RPCAddress, Resting: m.board.FailedHashes(),
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
-	}
-	if !state.RulesConfirmedAt.IsZero() && !state.ListConfirmedAt.IsZero() {
-		d.Confirms = true
-		d.RulesAgeMs = uint32(time.Since(state.RulesConfirmedAt).Milliseconds())
-		d.ListAgeMs = uint32(time.Since(state.ListConfirmedAt).Milliseconds())
+		RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord),
 	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
--- a/io/mesh/readers.go
+++ b/io/mesh/readers.go
@@ -4,16 +4,51 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rhubarbspread/core/store"
+	"rhubarbspread/io/mesh/wire"
 )
 
-// Evidence is what the other nodes say of the store.
+// Word is what the store last confirmed of one topic to some node, as far as a node knows.
+type Word struct {
+	Through     store.Revision // up to which the node has all changes
+	Changed     store.Revision // of the newest change that it knows of, or of its snapshot
+	ConfirmedAt time.Time      // when the store confirmed that nothing has changed since, in this node's time; zero if it never did
+}
+
+// encodeWord returns nil for a word that says nothing.
+func encodeWord(w Word) *wire.Word {
+	if w.ConfirmedAt.IsZero() {
+		return nil
+	}
+	return &wire.Word{Era: w.Changed.Era, Changed: w.Changed.Number, Through: w.Through.Number,
+		AgeMs: uint32(time.Since(w.ConfirmedAt).Milliseconds())}
+}
+
+// decodeWord returns a word that has just arrived.
+func decodeWord(w *wire.Word) Word {
+	if w == nil {
+		return Word{}
+	}
+	return Word{Through: store.Revision{Era: w.GetEra(), Number: w.GetThrough()},
+		Changed: store.Revision{Era: w.GetEra(), Number: w.GetChanged()}, ConfirmedAt: time.Now().Add(-milliseconds(w.GetAgeMs()))}
+}
+
+// Evidence is what the other nodes say of the store on one topic to a node that has all changes up to some revision.
 type Evidence struct {
-	// When the store last confirmed that it has nothing newer than what this node has; zero if unknown.
-	RulesConfirmedAt, ListConfirmedAt time.Time
-	// Whether a node that is alive has newer ones.
-	RulesBehind, ListBehind bool
-	// The newest versions that a live node has.
-	RulesVersion, ListVersion uint64
+	ConfirmedAt time.Time // when the store last confirmed that it has no others; zero if unknown
+	IsBehind    bool      // another node knows of one that this node may lack
+}
+
+// add adds the word that reached another node.
+func (e *Evidence) add(w Word, through store.Revision) {
+	switch {
+	case w.ConfirmedAt.IsZero():
+	case w.Changed.Compare(through) > 0:
+		e.IsBehind = true
+	case w.ConfirmedAt.After(e.ConfirmedAt):
+		e.ConfirmedAt = w.ConfirmedAt
+	}
 }
 
 // role is what a node does for others.
@@ -29,11 +64,6 @@
 	}
 }
 
-func (m *Mesh) isReader() bool {
-	r := m.role.Load()
-	return r != nil && r.isReader
-}
-
 // maxReaders is how many nodes read the store for all others. Their word reaches every data centre over the relays.
 const maxReaders = 3
 
@@ -56,34 +86,27 @@
 	return all[:min(maxReaders, len(all))]
 }
 
+// ReadsForOthers reports whether other nodes leave polling the store to this one.
+func (m *Mesh) ReadsForOthers() bool {
+	r := m.role.Load()
+	return r != nil && r.isReader
+}
+
 // LeavesReading reports whether other nodes read the store in this one's place. Where the nodes exchange their states directly,
 // each reads for itself.
-func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.isReader() }
-
-// ReadsForMembers reports whether other nodes leave polling the store to this one.
-func (m *Mesh) ReadsForMembers() bool { return m.isReader() }
+func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.ReadsForOthers() }
 
-// EvidenceFor returns what the other nodes say of the store to a node with the given versions. A confirmation counts only from
-// a node that has nothing newer, with the age that it had on arrival.
-func (m *Mesh) EvidenceFor(rulesVersion, listVersion uint64) Evidence {
+// EvidenceFor returns what the other nodes say of the store to a node that has all changes of the configuration and of the list
+// up to the given revisions. A confirmation counts only if the newest change before it is one that this node has, and with the
+// age that it had on arrival.
+func (m *Mesh) EvidenceFor(rules, list store.Revision) (onRules, onList Evidence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var e Evidence
 	for _, s := range m.peers {
-		if time.Since(s.LastSeen) > peerTTL {
-			continue
-		}
-		e.RulesVersion, e.ListVersion = max(e.RulesVersion, s.RulesVersion), max(e.ListVersion, s.ListVersion)
-		if s.RulesVersion > rulesVersion {
-			e.RulesBehind = true
-		} else if s.RulesConfirmedAt.After(e.RulesConfirmedAt) {
-			e.RulesConfirmedAt = s.RulesConfirmedAt
-		}
-		if s.ListVersion > listVersion {
-			e.ListBehind = true
-		} else if s.ListConfirmedAt.After(e.ListConfirmedAt) {
-			e.ListConfirmedAt = s.ListConfirmedAt
+		if time.Since(s.LastSeen) <= peerTTL {
+			onRules.add(s.RulesWord, rules)
+			onList.add(s.ListWord, list)
 		}
 	}
-	return e
+	return onRules, onList
 }
--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -5,25 +5,28 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"rhubarbspread/core/store"
 )
 
 // readerCounts are numbers of nodes that exchange their states over relays.
 var readerCounts = []int{24, 84, 300}
 
+// testThrough is the revision up to which the nodes of a reader group have all changes; the newest one is a little older.
+var testThrough = store.Revision{Era: 1, Number: 7}
+
 // newReaderGroup returns nodes that have exchanged digests for some periods. Those that read the store for others have its word
-// on their versions, which are equal, from the moment of each digest on.
+// from the moment of each digest on, and all have the same changes.
 func newReaderGroup(t *testing.T, n int) *group {
 	g := newGroup(t, n, "a", "b", "c", "d", "e")
 	for _, m := range g.nodes {
 		m.storeState = func() StoreState {
-			state := StoreState{RulesVersion: 3, ListVersion: 5}
-			if m.isReader() && !m.isCutFromStore {
-				state.RulesConfirmedAt, state.ListConfirmedAt = time.Now(), time.Now()
-				return state
+			word := Word{Through: testThrough, Changed: store.Revision{Era: 1, Number: 5}, ConfirmedAt: time.Now()}
+			if !m.ReadsForOthers() || m.isCutFromStore {
+				onRules, _ := m.EvidenceFor(testThrough, testThrough)
+				word.ConfirmedAt = onRules.ConfirmedAt
 			}
-			e := m.EvidenceFor(3, 5)
-			state.RulesConfirmedAt, state.ListConfirmedAt = e.RulesConfirmedAt, e.ListConfirmedAt
-			return state
+			return StoreState{RulesWord: word, ListWord: word}
 		}
 	}
 	g.exchange(6)
@@ -53,8 +56,8 @@
 func (g *group) checkEvidence(t *testing.T, when string, bound time.Duration) {
 	t.Helper()
 	for _, m := range g.nodes {
-		e := m.EvidenceFor(3, 5)
-		if age := time.Since(e.ListConfirmedAt); !m.isStopped && m.LeavesReading() && age > bound {
+		_, e := m.EvidenceFor(testThrough, testThrough)
+		if age := time.Since(e.ConfirmedAt); !m.isStopped && m.LeavesReading() && age > bound {
 			t.Fatalf("%s: the store's word at %s is %v old, want at most %v", when, m.config.Node, age, bound)
 		}
 	}
@@ -110,9 +113,12 @@
 				cutAt := time.Now()
 				g.exchange(20)
 				for _, m := range g.nodes {
-					if e := m.EvidenceFor(3, 5); e.ListConfirmedAt.After(cutAt) || e.RulesConfirmedAt.After(cutAt) {
-						t.Fatalf("%s has the store's word %v after the last node was cut off from it", m.config.Node,
-							e.ListConfirmedAt.Sub(cutAt))
+					onRules, onList := m.EvidenceFor(testThrough, testThrough)
+					for _, e := range []Evidence{onRules, onList} {
+						if e.ConfirmedAt.After(cutAt) {
+							t.Fatalf("%s has the store's word %v after the last node was cut off from it", m.config.Node,
+								e.ConfirmedAt.Sub(cutAt))
+						}
 					}
 				}
 			})
@@ -131,30 +137,33 @@
 		}
 		g.exchange(6)
 		for _, m := range g.nodes {
-			if e := m.EvidenceFor(3, 5); !e.ListConfirmedAt.IsZero() || !e.RulesConfirmedAt.IsZero() {
-				t.Fatalf("%s has a word of the store: %+v", m.config.Node, e)
+			if onRules, onList := m.EvidenceFor(testThrough, testThrough); onRules != (Evidence{}) || onList != (Evidence{}) {
+				t.Fatalf("%s has a word of the store: %+v, %+v", m.config.Node, onRules, onList)
 			}
 		}
 	})
 }
 
-// TestNodeThatIsBehindLearnsIt guards against a node that takes the word of the store on a newer version for one on its own.
+// TestNodeThatIsBehindLearnsIt guards against a node that takes the word of the store on changes that it lacks for one on its
+// own state.
 func TestNodeThatIsBehindLearnsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newReaderGroup(t, 24)
 		for _, m := range g.nodes {
 			for _, tc := range []struct {
-				name        string
-				rules, list uint64
-				behind      bool
-			}{{"older", 2, 4, true}, {"equal", 3, 5, false}, {"newer", 4, 6, false}} {
-				e := m.EvidenceFor(tc.rules, tc.list)
-				if e.RulesBehind != tc.behind || e.ListBehind != tc.behind {
-					t.Errorf("%s, %s versions: behind %v and %v, want %v", m.config.Node, tc.name, e.RulesBehind, e.ListBehind,
-						tc.behind)
-				}
-				if m.LeavesReading() && e.ListConfirmedAt.IsZero() != tc.behind {
-					t.Errorf("%s, %s versions: confirmed at %v", m.config.Node, tc.name, e.ListConfirmedAt)
+				name    string
+				through store.Revision
+				behind  bool
+			}{
+				{"it lacks the newest change", store.Revision{Era: 1, Number: 4}, true},
+				{"it read just then", store.Revision{Era: 1, Number: 5}, false},
+				{"it read later", store.Revision{Era: 1, Number: 9}, false},
+				{"it read a store that has come back from an older copy since", store.Revision{Era: 0, Number: 900}, true},
+				{"it has never read", store.Revision{}, true},
+			} {
+				_, e := m.EvidenceFor(tc.through, tc.through)
+				if e.IsBehind != tc.behind || m.LeavesReading() && e.ConfirmedAt.IsZero() != tc.behind {
+					t.Errorf("%s, %s: %+v, want behind: %v", m.config.Node, tc.name, e, tc.behind)
 				}
 			}
 		}
