Use what exists for turns and names, and ask for one topic's evidence at a time

Found while reading the change once more. The nodes' turns had a hash of their own beside pacer.RendezvousWeight; the board hashed the node's name as mesh.NameHash does and now gets that hash; the evidence was computed for both topics and twice for each look, and for each line of an attempt in the log, which needs two versions only; few nodes were listed by a loop. Tests share their set-up. Measured: tests of core/board, io/entry, io/mesh; no behaviour is meant to change but which node's turn comes first.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -102,10 +102,8 @@
 // WithDataCentre sets the node's own data centre, which never counts as unreachable.
 func WithDataCentre(name string) Option { return func(b *Board) { b.dataCentre = name } }
 
-// WithName sets the node's name.
-func WithName(name string) Option {
-	return func(b *Board) { b.nameHash = uint32(xxhash.Sum64String(name)) }
-}
+// WithNode sets the hash of the node's name.
+func WithNode(hash uint32) Option { return func(b *Board) { b.nameHash = hash } }
 
 // WithLogger sets the logger of changed limits and doubts; by default these are not logged.
 func WithLogger(log logr.Logger) Option { return func(b *Board) { b.log = log } }
--- a/core/board/doubt.go
+++ b/core/board/doubt.go
@@ -2,13 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"rhubarbspread/core/fleet"
-
-	"github.com/cespare/xxhash/v2"
+	"rhubarbspread/core/pacer"
 )
 
 // Doubt is what the nodes together know of an upstream that refused requests. Nodes pass it on; of two doubts on one upstream
@@ -98,9 +97,7 @@
 // turn returns after how long it is this node's turn to try an upstream. The nodes' turns are spread so that about one comes in
 // the time in which all learn of the outcome.
 func (b *Board) turn(upstream uint32, count int) time.Duration {
-	h := xxhash.Sum64String(strconv.FormatUint(uint64(b.nameHash), 36) + "/" + strconv.FormatUint(uint64(upstream), 36) +
-		"/" + strconv.Itoa(count))
-	share := float64(h>>11) / (1 << 53)
+	share := float64(pacer.RendezvousWeight(b.nameHash, upstream+uint32(count))) / math.MaxUint64
 	return time.Duration(share * float64(b.nodes-1) * float64(b.learnTime()))
 }
 
--- a/core/board/doubt_test.go
+++ b/core/board/doubt_test.go
@@ -1,7 +1,6 @@
 package board
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -9,8 +8,8 @@
 )
 
 // doubtingNode returns a node's board in a fleet of some nodes.
-func doubtingNode(c *fakeClock, name string, nodes int, list []*fleet.Upstream) *Board {
-	b := New(WithClock(c.now), WithSeed(1), WithName(name), WithDataCentre("a"))
+func doubtingNode(c *fakeClock, hash uint32, nodes int, list []*fleet.Upstream) *Board {
+	b := New(WithClock(c.now), WithSeed(1), WithNode(hash), WithDataCentre("a"))
 	b.SetNodes(nodes)
 	b.SetViewAge(200 * time.Millisecond)
 	b.SetUpstreams(fleet.NewList(1, list))
@@ -18,6 +17,22 @@
 	return b
 }
 
+// refuseAndPassOn lets an upstream refuse nodes that pass this on to another one.
+func refuseAndPassOn(u *fleet.Upstream, to *Board, refused ...*Board) {
+	for _, b := range refused {
+		b.RecordRefusal(u, "")
+		to.ApplyDoubts(b.Doubts())
+	}
+}
+
+// change lets a node read that the layers of an upstream have changed and changed back.
+func change(b *Board, u *fleet.Upstream) {
+	changed := *u
+	changed.Layers.To--
+	b.SetUpstreams(fleet.NewList(2, []*fleet.Upstream{&changed}))
+	b.SetUpstreams(fleet.NewList(3, []*fleet.Upstream{u}))
+}
+
 // TestRefusedNodesWarnOthers checks what two nodes that were refused mean for a third one, and what ends that.
 func TestRefusedNodesWarnOthers(t *testing.T) {
 	u := upstream("u", "a", "big", 0, 80)
@@ -50,40 +65,25 @@
 			third.ApplyDoubts(second.Doubts())
 		}, true},
 		{"one answered meanwhile", func(c *fakeClock, first, second, third *Board) {
-			first.RecordRefusal(u, "")
-			second.RecordRefusal(u, "")
-			third.ApplyDoubts(first.Doubts())
-			third.ApplyDoubts(second.Doubts())
+			refuseAndPassOn(u, third, first, second)
 			c.advance(50 * time.Millisecond)
 			second.RecordResponse(u, false, 0)
 			third.ApplyDoubts(second.Doubts())
 		}, true},
 		{"its layers have changed", func(_ *fakeClock, first, second, third *Board) {
-			first.RecordRefusal(u, "")
-			second.RecordRefusal(u, "")
-			third.ApplyDoubts(first.Doubts())
-			third.ApplyDoubts(second.Doubts())
-			changed := *u
-			changed.Layers.To--
-			third.SetUpstreams(fleet.NewList(2, []*fleet.Upstream{&changed}))
-			third.SetUpstreams(fleet.NewList(3, []*fleet.Upstream{u}))
+			refuseAndPassOn(u, third, first, second)
+			change(third, u)
 		}, true},
 		{"the refusals are older than its layers", func(c *fakeClock, first, second, third *Board) {
 			first.RecordRefusal(u, "")
 			second.RecordRefusal(u, "")
 			c.advance(50 * time.Millisecond)
-			changed := *u
-			changed.Layers.To--
-			third.SetUpstreams(fleet.NewList(2, []*fleet.Upstream{&changed}))
-			third.SetUpstreams(fleet.NewList(3, []*fleet.Upstream{u}))
+			change(third, u)
 			third.ApplyDoubts(first.Doubts())
 			third.ApplyDoubts(second.Doubts())
 		}, true},
 		{"long ago", func(c *fakeClock, first, second, third *Board) {
-			first.RecordRefusal(u, "")
-			second.RecordRefusal(u, "")
-			third.ApplyDoubts(first.Doubts())
-			third.ApplyDoubts(second.Doubts())
+			refuseAndPassOn(u, third, first, second)
 			c.advance(doubtTTL + time.Millisecond)
 		}, true},
 		{"ages that can't be", func(_ *fakeClock, _, _, third *Board) {
@@ -95,8 +95,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := newClock()
 			list := []*fleet.Upstream{u}
-			third := doubtingNode(c, "third", 3, list)
-			test.setup(c, doubtingNode(c, "first", 3, list), doubtingNode(c, "second", 3, list), third)
+			third := doubtingNode(c, 3, 3, list)
+			test.setup(c, doubtingNode(c, 1, 3, list), doubtingNode(c, 2, 3, list), third)
 			if got := third.ReservePath(list, need()) != nil; got != test.path {
 				t.Errorf("the third node finds a path: %v, want %v", got, test.path)
 			}
@@ -113,7 +113,7 @@
 			tries := 0
 			for i := range nodes {
 				c := newClock()
-				b := doubtingNode(c, fmt.Sprint("node-", i), nodes, list)
+				b := doubtingNode(c, uint32(i)+1, nodes, list)
 				b.ApplyDoubts(map[uint32]Doubt{KeyOf(u).Hash(): {0, -1, count, []uint32{1, 2}}})
 				c.advance(baseHold<<(count-1) + b.learnTime())
 				if b.ReservePath(list, need()) != nil {
--- a/core/board/stale_test.go
+++ b/core/board/stale_test.go
@@ -150,7 +150,7 @@
 	}
 	for n := range c.nodes {
 		dataCentre := fmt.Sprint("dc", n%staleCentres)
-		b := New(WithName(fmt.Sprint("node-", n)), WithClock(f.clock.now), WithSeed(seed*1000+uint64(n)), WithDataCentre(dataCentre))
+		b := New(WithNode(uint32(n)+1), WithClock(f.clock.now), WithSeed(seed*1000+uint64(n)), WithDataCentre(dataCentre))
 		b.SetNodes(c.nodes)
 		b.SetViewAge(c.digestAge)
 		b.SetUpstreams(fleet.NewList(1, f.list))
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -97,7 +97,7 @@
 	n := &Node{
 		dial:   hop.DialDirect,
 		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
-		board: board.New(board.WithName(c.Node), board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node)),
+		board: board.New(board.WithNode(mesh.NameHash(c.Node)), board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node)),
 			board.WithOwnFault(tracker.IsSuspected)),
 		stats:        stats.New(),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
@@ -153,7 +153,8 @@
 // storeState returns the store's data that this node has.
 func (n *Node) storeState() mesh.StoreState {
 	// In this order: the data hold at least what the words cover.
-	rulesWord, listWord := n.newestWord(store.Configuration), n.newestWord(store.Upstreams)
+	rulesWord, _ := n.newestWord(store.Configuration)
+	listWord, _ := n.newestWord(store.Upstreams)
 	v := n.view.Load()
 	if v == nil {
 		return mesh.StoreState{}
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -51,29 +51,22 @@
 // evidence returns what the other nodes say of the store on a topic.
 func (n *Node) evidence(t store.Topic) mesh.Evidence {
 	n.storeMu.Lock()
-	rules, list := n.words[store.Configuration].Through, n.words[store.Upstreams].Through
+	through := n.words[t].Through
 	n.storeMu.Unlock()
-	onRules, onList := n.mesh.EvidenceFor(rules, list)
-	switch t {
-	case store.Configuration:
-		return onRules
-	case store.Upstreams:
-		return onList
-	}
-	return mesh.Evidence{}
+	return n.mesh.EvidenceFor(t, through)
 }
 
 // newestWord returns the newest word of the store on a topic, to this node or to another one of whose word this node has all
-// changes.
-func (n *Node) newestWord(t store.Topic) mesh.Word {
+// changes, and whether another node knows of a change that this one may lack.
+func (n *Node) newestWord(t store.Topic) (w mesh.Word, isBehind bool) {
 	evidence := n.evidence(t)
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	w := n.words[t]
+	w = n.words[t]
 	if evidence.ConfirmedAt.After(w.ConfirmedAt) {
 		w.ConfirmedAt = evidence.ConfirmedAt
 	}
-	return w
+	return w, evidence.IsBehind
 }
 
 // pause waits between two polls for a topic's changes.
@@ -133,11 +126,12 @@
 
 // mustPoll reports whether this node must poll for a topic itself.
 func (n *Node) mustPoll(f *follower, deadline time.Duration) bool {
-	if time.Since(n.newestWord(f.topic).ConfirmedAt) >= deadline {
+	word, isBehind := n.newestWord(f.topic)
+	if time.Since(word.ConfirmedAt) >= deadline {
 		return true
 	}
-	isLate := f.topic == store.Configuration || n.sinceRead(f.topic) >= deadline
-	return isLate && f.failures == 0 && n.evidence(f.topic).IsBehind
+	isDue := f.topic == store.Configuration || n.sinceRead(f.topic) >= deadline
+	return isBehind && isDue && f.failures == 0
 }
 
 // sinceRead returns the time since the store's latest answer on a topic to this node.
--- a/io/mesh/doubts.go
+++ b/io/mesh/doubts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -121,13 +122,10 @@
 // factsReceivers returns the addresses of the nodes that understand facts alone and that this node passes them on to: all
 // others, or where relays are used those of its data centre, and of a relay also its members and the other relays.
 func (m *Mesh) factsReceivers(others map[string]Node, isOwn bool) []netip.AddrPort {
-	var names []string
 	if len(others) < RelayThreshold {
-		for name := range others {
-			names = append(names, name)
-		}
-		return m.understanding(names, others)
+		return m.understanding(slices.Collect(maps.Keys(others)), others)
 	}
+	var names []string
 	relays := m.relaysOf(others)
 	isRelay := slices.Contains(relays[m.config.DataCentre].active, m.config.Node)
 	switch {
--- a/io/mesh/doubts_test.go
+++ b/io/mesh/doubts_test.go
@@ -59,9 +59,7 @@
 		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(t, n, "a", "b", "c", "d", "e")
-				for sequence := range uint32(4) {
-					g.deliver(sequence + 1)
-				}
+				g.exchange(4)
 				g.nodes[n-1].board.RecordRefusal(g.upstreams[0], "")
 				g.nodes[n-2].board.RecordRefusal(g.upstreams[0], "")
 				sent := g.deliverFacts()
@@ -85,9 +83,7 @@
 		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(t, n, "a", "b", "c")
-				for sequence := range uint32(4) {
-					g.deliver(sequence + 1)
-				}
+				g.exchange(4)
 				for _, m := range g.nodes {
 					for _, s := range m.peers {
 						s.latest.TakesFacts = false
@@ -108,14 +104,10 @@
 		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(t, n, "a", "b", "c")
-				for sequence := range uint32(4) {
-					g.deliver(sequence + 1)
-				}
+				g.exchange(4)
 				g.nodes[0].board.RecordRefusal(g.upstreams[0], "")
 				g.nodes[1].board.RecordRefusal(g.upstreams[0], "")
-				for sequence := range uint32(3) {
-					g.deliver(sequence + 5)
-				}
+				g.exchange(3)
 				doubt := g.nodes[n-1].board.Doubts()[board.KeyOf(g.upstreams[0]).Hash()]
 				if len(doubt.Sources) != 2 || doubt.Count != 1 {
 					t.Errorf("the last node knows %+v, want one refusal of two nodes", doubt)
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -76,7 +76,7 @@
 func (g *group) newMember(i, n int, dataCentre string) *member {
 	m := &member{
 		address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
-		dataCentre: dataCentre, board: board.New(board.WithName(fmt.Sprintf("node-%d", i)), board.WithSeed(uint64(i))),
+		dataCentre: dataCentre, board: board.New(board.WithNode(NameHash(fmt.Sprintf("node-%d", i))), board.WithSeed(uint64(i))),
 	}
 	m.budget = retry.NewWindow(0.2, 100, 10*time.Second)
 	m.budget.SetNodes(n)
--- a/io/mesh/readers.go
+++ b/io/mesh/readers.go
@@ -96,17 +96,27 @@
 // each reads for itself.
 func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.ReadsForOthers() }
 
-// EvidenceFor returns what the other nodes say of the store to a node that has all changes of the configuration and of the list
-// up to the given revisions. A confirmation counts only if the newest change before it is one that this node has, and with the
-// age that it had on arrival.
-func (m *Mesh) EvidenceFor(rules, list store.Revision) (onRules, onList Evidence) {
+// EvidenceFor returns what the other nodes say of the store on a topic to a node that has all changes up to a revision. A
+// confirmation counts only if the newest change before it is one that this node has, and with the age that it had on arrival.
+func (m *Mesh) EvidenceFor(t store.Topic, through store.Revision) Evidence {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var e Evidence
 	for _, s := range m.peers {
 		if time.Since(s.LastSeen) <= peerTTL {
-			onRules.add(s.RulesWord, rules)
-			onList.add(s.ListWord, list)
+			e.add(s.wordOn(t), through)
 		}
 	}
-	return onRules, onList
+	return e
+}
+
+// wordOn returns the store's word on a topic that reached the node; of the nodes there is none.
+func (p *Peer) wordOn(t store.Topic) Word {
+	switch t {
+	case store.Configuration:
+		return p.RulesWord
+	case store.Upstreams:
+		return p.ListWord
+	}
+	return Word{}
 }
--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -12,6 +12,9 @@
 // readerCounts are numbers of nodes that exchange their states over relays.
 var readerCounts = []int{24, 84, 300}
 
+// wordTopics are the topics on which nodes pass the store's word on.
+var wordTopics = []store.Topic{store.Configuration, store.Upstreams}
+
 // testThrough is the revision up to which the nodes of a reader group have all changes; the newest one is a little older.
 var testThrough = store.Revision{Era: 1, Number: 7}
 
@@ -23,8 +26,7 @@
 		m.storeState = func() StoreState {
 			word := Word{Through: testThrough, Changed: store.Revision{Era: 1, Number: 5}, ConfirmedAt: time.Now()}
 			if !m.ReadsForOthers() || m.isCutFromStore {
-				onRules, _ := m.EvidenceFor(testThrough, testThrough)
-				word.ConfirmedAt = onRules.ConfirmedAt
+				word.ConfirmedAt = m.EvidenceFor(store.Upstreams, testThrough).ConfirmedAt
 			}
 			return StoreState{RulesWord: word, ListWord: word}
 		}
@@ -56,7 +58,7 @@
 func (g *group) checkEvidence(t *testing.T, when string, bound time.Duration) {
 	t.Helper()
 	for _, m := range g.nodes {
-		_, e := m.EvidenceFor(testThrough, testThrough)
+		e := m.EvidenceFor(store.Upstreams, testThrough)
 		if age := time.Since(e.ConfirmedAt); !m.isStopped && m.LeavesReading() && age > bound {
 			t.Fatalf("%s: the store's word at %s is %v old, want at most %v", when, m.config.Node, age, bound)
 		}
@@ -113,8 +115,8 @@
 				cutAt := time.Now()
 				g.exchange(20)
 				for _, m := range g.nodes {
-					onRules, onList := m.EvidenceFor(testThrough, testThrough)
-					for _, e := range []Evidence{onRules, onList} {
+					for _, topic := range wordTopics {
+						e := m.EvidenceFor(topic, testThrough)
 						if e.ConfirmedAt.After(cutAt) {
 							t.Fatalf("%s has the store's word %v after the last node was cut off from it", m.config.Node,
 								e.ConfirmedAt.Sub(cutAt))
@@ -137,8 +139,10 @@
 		}
 		g.exchange(6)
 		for _, m := range g.nodes {
-			if onRules, onList := m.EvidenceFor(testThrough, testThrough); onRules != (Evidence{}) || onList != (Evidence{}) {
-				t.Fatalf("%s has a word of the store: %+v, %+v", m.config.Node, onRules, onList)
+			for _, topic := range wordTopics {
+				if e := m.EvidenceFor(topic, testThrough); e != (Evidence{}) {
+					t.Fatalf("%s has a word of the store on the %v: %+v", m.config.Node, topic, e)
+				}
 			}
 		}
 	})
@@ -161,9 +165,11 @@
 				{"it read a store that has come back from an older copy since", store.Revision{Era: 0, Number: 900}, true},
 				{"it has never read", store.Revision{}, true},
 			} {
-				_, e := m.EvidenceFor(tc.through, tc.through)
-				if e.IsBehind != tc.behind || m.LeavesReading() && e.ConfirmedAt.IsZero() != tc.behind {
-					t.Errorf("%s, %s: %+v, want behind: %v", m.config.Node, tc.name, e, tc.behind)
+				for _, topic := range wordTopics {
+					e := m.EvidenceFor(topic, tc.through)
+					if e.IsBehind != tc.behind || m.LeavesReading() && e.ConfirmedAt.IsZero() != tc.behind {
+						t.Errorf("%s, %v, %s: %+v, want behind: %v", m.config.Node, topic, tc.name, e, tc.behind)
+					}
 				}
 			}
 		}
