Let the largest VMs of a data centre relay

Cause: relays were the first nodes by a hash of their names.

While one node of a data centre states none, as an older build does, all choose by the hash, so that both builds agree.

Sites of equal VMs keep their relays.

--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -24,7 +24,9 @@
 	StoreAddress     string   // IP:port of the platform's store
 	MetricsAddress   string   // IP:port of the metrics page, or "" for none
 
-	MemoryMB int // memory of the VM
+	MemoryMB int     // memory of the VM
+	Cores    float64 // of the VM, in whole ones at full speed; 0 if unknown
+	LinkMbps float64 // bandwidth of the VM's link in Mbit/s; 0 if unknown
 
 	HeartbeatInterval time.Duration // interval at which an upstream renews its entry
 	DrainBound        time.Duration // longest time until a draining upstream gets no new requests
@@ -35,6 +37,9 @@
 	RetryWindow       time.Duration
 }
 
+// capacity returns the VM's capacity for work for other nodes, as mesh.Node has it.
+func (c *Config) capacity() float64 { return c.Cores * c.LinkMbps }
+
 // HeaderCodec reads and writes the platform's headers of requests and answers.
 type HeaderCodec interface {
 	ReadCallerHeaders(h http.Header) proxy.CallerHeaders
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -120,6 +120,7 @@
 		crash.WithLogger(n.log), crash.WithSettleTime(markSettleTime))
 	n.mesh = mesh.New(mesh.Config{
 		Node: c.Node, DataCentre: c.DataCentre, DatagramAddress: c.DatagramAddress, RPCAddress: c.RPCAddress,
+		Capacity: c.capacity(),
 	}, n.board, n.storeState, n.otherNodes, n.crashes, n.budget, n.log)
 	n.executor = proxy.New(proxy.Dependencies{
 		Transport: &transport{pool: n.pool, headers: p.Headers, node: n}, Engines: n.engines, Board: n.board, Fleet: n,
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -246,8 +246,9 @@
 
 // nodeRow is the row in which a node announces itself.
 type nodeRow struct {
-	Address    string `json:"address"` // IP:port for datagrams
-	DataCentre string `json:"data-centre"`
+	Address    string  `json:"address"` // IP:port for datagrams
+	DataCentre string  `json:"data-centre"`
+	Capacity   float64 `json:"capacity,omitempty"` // see mesh.Node
 }
 
 // applyNode applies the row of another node.
@@ -266,7 +267,7 @@
 		c.node.log.Info("node-unreadable", "node", row.Key, "cause", err.Error())
 		return
 	}
-	c.nodes[row.Key] = mesh.Node{Address: address, DataCentre: node.DataCentre}
+	c.nodes[row.Key] = mesh.Node{Address: address, DataCentre: node.DataCentre, Capacity: node.Capacity}
 }
 
 // publish replaces the view by the current state and passes that on to the board and the retry budget.
--- a/io/entry/tasks.go
+++ b/io/entry/tasks.go
@@ -58,7 +58,7 @@
 
 // announce writes this node's row to the store, with retries until that succeeds.
 func (n *Node) announce(ctx context.Context) error {
-	raw, err := json.Marshal(nodeRow{Address: n.config.DatagramAddress, DataCentre: n.config.DataCentre})
+	raw, err := json.Marshal(nodeRow{n.config.DatagramAddress, n.config.DataCentre, n.config.capacity()})
 	if err != nil {
 		return err
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -76,14 +76,16 @@
 type Node struct {
 	Address    netip.AddrPort // for datagrams
 	DataCentre string
+	Capacity   float64 // of its VM for work for others: cores times Mbit/s; 0 if unknown, as of older builds
 }
 
 // Config identifies a node in the mesh.
 type Config struct {
 	Node            string
 	DataCentre      string
-	DatagramAddress string // IP:port
-	RPCAddress      string // IP:port
+	DatagramAddress string  // IP:port
+	RPCAddress      string  // IP:port
+	Capacity        float64 // as Node has it
 }
 
 // Mesh exchanges state with the other nodes.
@@ -327,7 +329,7 @@
 			m.log.Info("datagram-unreadable", "other", name, "cause", err.Error())
 			continue
 		}
-		all[name] = Node{address, s.ownDigest.GetDataCentre()}
+		all[name] = Node{address, s.ownDigest.GetDataCentre(), s.ownDigest.GetCapacity()}
 	}
 	return all
 }
@@ -358,7 +360,7 @@
 		Address: m.config.DatagramAddress, Questions: m.config.RPCAddress, Resting: m.board.FailedHashes(),
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
-		RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord),
+		RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord), Capacity: m.config.Capacity,
 	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -103,7 +103,7 @@
 	m := make(map[string]Node)
 	for _, n := range g.nodes {
 		if n.config.Node != name && !n.isUnlisted {
-			m[n.config.Node] = Node{n.address, n.dataCentre}
+			m[n.config.Node] = Node{n.address, n.dataCentre, n.config.Capacity}
 		}
 	}
 	return m
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -71,19 +71,42 @@
 	receivers []string // to which datagrams are sent: the active ones, and those that are replaced because they are silent
 }
 
-// relaysOf returns the relays of each data centre: the first nodes in the order of the hashes of their names, with
-// relays that have become silent last. Two relays that were cut off from each other would stay silent to each other if
-// they were not sent datagrams any more.
+// candidate is a node that may become a relay of its data centre.
+type candidate struct {
+	name     string
+	capacity float64
+}
+
+// sortCandidates sorts the nodes of a data centre by how well they suit as relays: the VMs with the most capacity first, and in
+// the order of the hashes of their names where that is equal or unknown. While one of them is of an older build, all order by
+// the hash, as that one does.
+func sortCandidates(candidates []candidate) {
+	isUnknown := slices.ContainsFunc(candidates, func(c candidate) bool { return c.capacity <= 0 })
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		byName := cmp.Compare(NameHash(a.name), NameHash(b.name))
+		if isUnknown {
+			return byName
+		}
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), byName)
+	})
+}
+
+// relaysOf returns the relays of each data centre: the first of its candidates, with relays that have become silent last. Two
+// relays that were cut off from each other would stay silent to each other if they were not sent datagrams any more.
 func (m *Mesh) relaysOf(others map[string]Node) map[string]relaySet {
-	nodes := map[string][]string{m.config.DataCentre: {m.config.Node}}
+	nodes := map[string][]candidate{m.config.DataCentre: {{m.config.Node, m.config.Capacity}}}
 	for name, n := range others {
-		nodes[n.DataCentre] = append(nodes[n.DataCentre], name)
+		nodes[n.DataCentre] = append(nodes[n.DataCentre], candidate{name, n.Capacity})
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	relays := make(map[string]relaySet, len(nodes))
-	for dataCentre, names := range nodes {
-		slices.SortFunc(names, func(a, b string) int { return cmp.Compare(NameHash(a), NameHash(b)) })
+	for dataCentre, candidates := range nodes {
+		sortCandidates(candidates)
+		names := make([]string, 0, len(candidates))
+		for _, c := range candidates {
+			names = append(names, c.name)
+		}
 		count := min(relaysPerDataCentre, len(names))
 		receivers := slices.Clone(names[:count])
 		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(m.silentRank(a), m.silentRank(b)) })
