Play hundreds of nodes without the race detector, and few nodes with real sockets at once

Change: cases of 300 nodes run once without the race detector, the same code under it with fewer nodes; two groups with real sockets play at once. No test is left out.

--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the project's checks: formatting, vet, the linter, the Spin specifications, and the tests with fixed seeds. The
-# tests run with the race detector, except io/trial, which runs without it and in short mode.
+# tests run with the race detector, except the cases of hundreds of nodes and io/trial, which runs in short mode as well.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd core io platform)
@@ -23,8 +23,11 @@
   xargs -n1 dirname | sort -u | sed 's|^|./|')
 other_packages=$(go list ./... | grep -v '/io/trial$' | sed 's|^rhubarbspread|.|' |
   grep -vxF "$rapid_packages" | grep -vx './platform')
-go test -race -timeout "$test_timeout" -count=1 -skip "$skip" $other_packages
-# Its nodes use real sockets and time, so they run without other packages beside them.
-go test -race -timeout "$test_timeout" -count=1 -skip "$skip" ./platform
-go test -race -timeout "$test_timeout" -count=1 -skip "$skip" $rapid_packages -rapid.seed=1
+# With the race detector hundreds of nodes take minutes; the same code runs under it with fewer.
+many_nodes='/^300_nodes$'
+go test -race -timeout "$test_timeout" -count=1 -skip "$skip|$many_nodes" $other_packages
+# Its nodes use real sockets and time, so they run without other packages beside them, and few of them at once.
+go test -race -timeout "$test_timeout" -count=1 -parallel 2 -skip "$skip" ./platform
+go test -race -timeout "$test_timeout" -count=1 -skip "$skip|$many_nodes" $rapid_packages -rapid.seed=1
+go test -timeout "$test_timeout" -count=1 -run "$many_nodes" ./core/board ./io/mesh
 go test -timeout "$test_timeout" -count=1 -short -skip "$skip" ./io/trial
