Pass changes of the list on between nodes

Change: digests of relays and readers hold the latest changed rows with the revisions between which they are complete; a node that has the first revision applies them. Whether a node is behind is decided by what it has read. Changes of the configuration that come together are read together. Where the bound on changes is 2 s, a word is relied on for 1 s, not 0.67 s: two calls that end with a margin of a sixth of the bound each leave the rest.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -41,7 +41,9 @@
 // follower is the state of reading one topic.
 type follower struct {
 	topic       store.Topic
-	since       store.Revision
+	since       store.Revision // up to which it has all changes
+	confirmedAt time.Time      // when the store last confirmed that to this node, or to the one whose news it took
+	behindSince time.Time      // since when another node has known of a change that this one lacks; zero if none does
 	hasSnapshot bool
 	failures    int  // failed calls in a row
 	leaves      bool // this node leaves polling to others
@@ -68,18 +70,18 @@
 			f.failures++
 			f.isUrgent = true
 			if f.hasSnapshot {
-				n.awaitDuty(ctx, f)
+				n.awaitDuty(ctx, f, changes)
 			}
 			continue
 		}
 		n.recordSuccess(t)
 		f.failures, f.isUrgent = 0, false
-		f.hasSnapshot, f.since = true, ch.word.Through
+		f.hasSnapshot, f.since, f.confirmedAt = true, ch.word.Through, ch.word.ConfirmedAt
 		select {
 		case changes <- ch:
 		case <-ctx.Done():
 		}
-		n.pause(ctx, f)
+		n.pause(ctx, f, changes)
 	}
 	return nil
 }
@@ -109,7 +111,7 @@
 	ch := change{topic: f.topic, rows: rows, snapshot: !f.hasSnapshot, fromStore: true, version: newestVersion(rows)}
 	ch.word = mesh.Word{Through: through, Changed: through, ConfirmedAt: time.Now()}
 	if !ch.snapshot { // a snapshot does not tell when a row was removed
-		ch.word.Changed.Number = ch.version
+		ch.word.Changed.Number, ch.since = ch.version, f.since
 	}
 	return ch
 }
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -82,6 +82,7 @@
 	outage          *fleet.Outage
 	polls           polls
 	words           map[store.Topic]mesh.Word // of the store to this node, and to nodes that this one fetched from
+	recent          store.Recent              // changes of the list
 	plannerSeenAt   atomic.Int64              // when another node was last known to hold the lease, in ns since the start
 }
 
@@ -162,7 +163,7 @@
 	}
 	_, isPlanner := n.lease.Valid()
 	state := mesh.StoreState{RawRules: v.RawRules, Rows: v.Rows, NodeRows: v.NodeRows, IsPlanner: isPlanner,
-		RulesWord: rulesWord, ListWord: listWord}
+		RulesWord: rulesWord, ListWord: listWord, ListNews: n.listNews()}
 	state.RulesVersion, state.ListVersion = v.versions()
 	return state
 }
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -16,16 +16,60 @@
 	readerPauseShare = 0.1                    // of the bound on changes, between the polls of a node that reads for others
 	deadlineSpread   = 0.2                    // share of the deadline by which nodes differ, lest all poll at once
 	manyNodesPause   = 4 * time.Second        // least time between polls for the nodes where these are many
+	newsDelay        = 150 * time.Millisecond // for which a node that is behind waits for news of the list
+	// configReadsPerBound is how many polls for the configuration a node makes at most within the bound on changes, while it learns
+	// of one after the other.
+	configReadsPerBound = 8
 )
 
 // delegates reports whether this node leaves polling the store to others.
 func (n *Node) delegates() bool { return n.mesh.LeavesReading() }
 
-// addWord records the word of the store that came with a change, once the change is in force here.
+// addWord records the word of the store that came with a change, once the change is in force here, and the changes as news.
 func (n *Node) addWord(ch change) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
 	n.words[ch.topic] = joinWords(n.words[ch.topic], ch.word)
+	switch {
+	case ch.topic != store.Upstreams || ch.word.ConfirmedAt.IsZero():
+	case ch.snapshot:
+		n.recent.Reset(ch.word.Through)
+	default:
+		n.recent.Add(ch.since, ch.word.Through, ch.rows, time.Now())
+	}
+}
+
+// listNews returns the latest changes of the list, for other nodes.
+func (n *Node) listNews() store.News {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	return n.recent.News(time.Now(), mesh.MaxNewsBytes)
+}
+
+// takeNews passes on to the control goroutine what other nodes' digests say of changes that this node lacks.
+func (n *Node) takeNews(ctx context.Context, f *follower, changes chan<- change) {
+	if f.topic != store.Upstreams {
+		return
+	}
+	news, word, ok := n.mesh.ListNews(f.since)
+	if !ok {
+		return
+	}
+	ch := change{topic: f.topic, rows: news.After(f.since), word: word, since: f.since}
+	ch.version = newestVersion(ch.rows)
+	select {
+	case changes <- ch:
+		f.since, f.confirmedAt = word.Through, later(f.confirmedAt, word.ConfirmedAt)
+		n.stats.Count("list-changes-from-nodes")
+	case <-ctx.Done():
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // joinWords returns what a node knows that has all changes of two words. Of two eras of the store the later one counts.
@@ -70,10 +114,10 @@
 }
 
 // pause waits between two polls for a topic's changes.
-func (n *Node) pause(ctx context.Context, f *follower) {
+func (n *Node) pause(ctx context.Context, f *follower, changes chan<- change) {
 	switch {
 	case n.delegates() && f.topic != store.Nodes:
-		n.awaitDuty(ctx, f)
+		n.awaitDuty(ctx, f, changes)
 	case n.mesh.ReadsForOthers() && f.topic != store.Nodes:
 		sleep(ctx, time.Duration(readerPauseShare*float64(n.changeBound())))
 	case f.topic == store.Nodes && len(n.otherNodes()) >= mesh.RelayThreshold:
@@ -83,13 +127,17 @@
 	}
 }
 
-// awaitDuty waits while other nodes poll for a topic in place of this one.
-func (n *Node) awaitDuty(ctx context.Context, f *follower) {
+// awaitDuty waits while other nodes poll for a topic in place of this one, and takes their news of it.
+func (n *Node) awaitDuty(ctx context.Context, f *follower, changes chan<- change) {
 	if f.topic == store.Nodes {
 		return
 	}
 	deadline := n.evidenceDeadline()
-	for ctx.Err() == nil && n.delegates() && !n.mustPoll(f, deadline) {
+	for ctx.Err() == nil && n.delegates() {
+		n.takeNews(ctx, f, changes)
+		if n.mustPoll(f, deadline) {
+			return
+		}
 		n.endOutage(f.topic)
 		sleep(ctx, dutyInterval)
 	}
@@ -118,20 +166,36 @@
 	return n.delegates() && sinceStart-time.Duration(n.plannerSeenAt.Load()) < standbyTerms*leaseTerm
 }
 
-// evidenceDeadline returns the age of the latest confirmation from which on this node polls for itself.
+// evidenceDeadline returns the age of the latest confirmation from which on this node polls for itself: of the bound on changes
+// it leaves the time of two calls, the first over a connection that has gone silent, and as much again as one for the way.
 func (n *Node) evidenceDeadline() time.Duration {
+	bound := n.changeBound()
 	share := float64(mesh.NameHash(n.config.Node)) / (1 << 32)
-	return time.Duration((1 - deadlineSpread*share) * float64(listPause(n.changeBound())))
+	return time.Duration((1 - deadlineSpread*share) * float64(max(listPause(bound), bound-3*callMargin(bound, 0))))
 }
 
-// mustPoll reports whether this node must poll for a topic itself.
+// mustPoll reports whether this node must poll for a topic itself: nobody has confirmed for long what it has, or it is behind and
+// the news that would tell it have not come.
 func (n *Node) mustPoll(f *follower, deadline time.Duration) bool {
-	word, isBehind := n.newestWord(f.topic)
-	if time.Since(word.ConfirmedAt) >= deadline {
+	evidence := n.mesh.EvidenceFor(f.topic, f.since)
+	if time.Since(later(f.confirmedAt, evidence.ConfirmedAt)) >= deadline {
 		return true
 	}
-	isDue := f.topic == store.Configuration || n.sinceRead(f.topic) >= deadline
-	return isBehind && isDue && f.failures == 0
+	switch {
+	case !evidence.IsBehind:
+		f.behindSince = time.Time{}
+		return false
+	case f.behindSince.IsZero():
+		f.behindSince = time.Now()
+	}
+	if f.failures > 0 {
+		return false
+	}
+	sinceRead := n.sinceRead(f.topic)
+	if f.topic == store.Configuration { // changes that come together are read together
+		return sinceRead >= n.changeBound()/configReadsPerBound
+	}
+	return sinceRead >= deadline && time.Since(f.behindSince) >= newsDelay
 }
 
 // sinceRead returns the time since the store's latest answer on a topic to this node.
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -31,10 +31,11 @@
 type change struct {
 	topic     store.Topic
 	rows      []store.FeedRow
-	version   uint64    // of the newest row
-	word      mesh.Word // of the store, which covers the rows
-	snapshot  bool      // rows are all rows of the topic
-	fromStore bool      // read from the store, not fetched from another node
+	version   uint64         // of the newest row
+	word      mesh.Word      // of the store, which covers the rows
+	since     store.Revision // after which the rows changed; zero for a snapshot
+	snapshot  bool           // rows are all rows of the topic
+	fromStore bool           // read from the store, not fetched from another node
 }
 
 // control maintains the node's copy of the store's data; one goroutine runs it.
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -41,6 +41,7 @@
 	IsPlanner    bool            // the node holds the placement lease
 	RulesWord    Word            // on the configuration
 	ListWord     Word            // on the list
+	ListNews     store.News      // latest changes of the list, up to one that the word covers at least
 }
 
 // CrashRegistry receives the marks that other nodes set on requests that crash upstreams.
@@ -361,6 +362,7 @@
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
 		RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord), Capacity: m.config.Capacity,
+		ListNews: m.listNews(state.ListNews),
 	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -290,7 +290,7 @@
 		Plans: s.planners > 0, Nodes: uint32(s.nodes), Settled: uint32(s.settled),
 		Limits: own.GetLimits(),                   // which include the newest of those received
 		Doubts: own.GetDoubts(), TakesFacts: true, // likewise
-		RulesWord: own.GetRulesWord(), ListWord: own.GetListWord(),
+		RulesWord: own.GetRulesWord(), ListWord: own.GetListWord(), ListNews: own.GetListNews(),
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
