Read changes of the configuration that come together once, and spare a store that turns many nodes away

Change: a node that learns of a newer configuration waits an eighth of the bound before it reads, so that the next versions come with it.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -66,7 +66,7 @@
 			if store.Is(err, store.Uncertain) {
 				n.polls.interruptOthers(t)
 			}
-			sleep(ctx, backoff(f.failures, err))
+			sleep(ctx, n.failurePause(f, err))
 			f.failures++
 			f.isUrgent = true
 			if f.hasSnapshot {
@@ -201,6 +201,15 @@
 	return min(maxRetryBackoff, retryBackoff*time.Duration(failures+1))
 }
 
+// failurePause returns the pause after a failed call. Many nodes that the store turns away spare it their polls for the nodes, of
+// which datagrams tell as well.
+func (n *Node) failurePause(f *follower, err error) time.Duration {
+	if f.topic == store.Nodes && f.hasSnapshot && f.failures > 0 && n.isOfMany() {
+		return manyNodesPause
+	}
+	return backoff(f.failures, err)
+}
+
 // pauseFor returns the pause between two polls for a topic's changes.
 func (n *Node) pauseFor(t store.Topic) time.Duration {
 	switch t {
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -17,8 +17,8 @@
 	deadlineSpread   = 0.2                    // share of the deadline by which nodes differ, lest all poll at once
 	manyNodesPause   = 4 * time.Second        // least time between polls for the nodes where these are many
 	newsDelay        = 150 * time.Millisecond // for which a node that is behind waits for news of the list
-	// configReadsPerBound is how many polls for the configuration a node makes at most within the bound on changes, while it learns
-	// of one after the other.
+	// configReadsPerBound is how many polls for the configuration a node that learns of one change after the other makes at most
+	// within the bound on changes.
 	configReadsPerBound = 8
 )
 
@@ -113,6 +113,9 @@
 	return w, evidence.IsBehind
 }
 
+// isOfMany reports whether the nodes are so many that they exchange their states through relays.
+func (n *Node) isOfMany() bool { return len(n.otherNodes()) >= mesh.RelayThreshold }
+
 // pause waits between two polls for a topic's changes.
 func (n *Node) pause(ctx context.Context, f *follower, changes chan<- change) {
 	switch {
@@ -120,7 +123,7 @@
 		n.awaitDuty(ctx, f, changes)
 	case n.mesh.ReadsForOthers() && f.topic != store.Nodes:
 		sleep(ctx, time.Duration(readerPauseShare*float64(n.changeBound())))
-	case f.topic == store.Nodes && len(n.otherNodes()) >= mesh.RelayThreshold:
+	case f.topic == store.Nodes && n.isOfMany():
 		sleep(ctx, max(manyNodesPause, n.pauseFor(f.topic)))
 	default:
 		sleep(ctx, n.pauseFor(f.topic))
@@ -191,11 +194,11 @@
 	if f.failures > 0 {
 		return false
 	}
-	sinceRead := n.sinceRead(f.topic)
+	behindFor := time.Since(f.behindSince)
 	if f.topic == store.Configuration { // changes that come together are read together
-		return sinceRead >= n.changeBound()/configReadsPerBound
+		return behindFor >= n.changeBound()/configReadsPerBound
 	}
-	return sinceRead >= deadline && time.Since(f.behindSince) >= newsDelay
+	return n.sinceRead(f.topic) >= deadline && behindFor >= newsDelay
 }
 
 // sinceRead returns the time since the store's latest answer on a topic to this node.
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,33 @@
 		})
 	}
 }
+
+// TestManyTurnedAwayNodesSpareTheStore guards against polls for the nodes in short succession by all of many nodes that the store
+// turns away, while a node that has read nothing yet must go on asking.
+func TestManyTurnedAwayNodesSpareTheStore(t *testing.T) {
+	many := make(map[string]mesh.Node)
+	for i := range mesh.RelayThreshold {
+		many[fmt.Sprint("node-", i)] = mesh.Node{}
+	}
+	turnedAway := store.NewError(store.NotSent, "status 503")
+	for _, tc := range []struct {
+		name  string
+		nodes map[string]mesh.Node
+		f     follower
+		want  time.Duration
+	}{
+		{"of many", many, follower{topic: store.Nodes, hasSnapshot: true, failures: 1}, manyNodesPause},
+		{"of many, the first failure", many, follower{topic: store.Nodes, hasSnapshot: true}, retryBackoff},
+		{"of many, nothing read yet", many, follower{topic: store.Nodes, failures: 5}, maxRetryBackoff},
+		{"of many, another topic", many, follower{topic: store.Upstreams, hasSnapshot: true, failures: 5}, maxRetryBackoff},
+		{"of few", nil, follower{topic: store.Nodes, hasSnapshot: true, failures: 5}, maxRetryBackoff},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := &Node{}
+			n.view.Store(&View{Nodes: tc.nodes})
+			if got := n.failurePause(&tc.f, turnedAway); got != tc.want {
+				t.Errorf("%v until the next call, want %v", got, tc.want)
+			}
+		})
+	}
+}
