--- a/core/board/path.go
+++ b/core/board/path.go
@@ -44,18 +44,26 @@
 	remoteFirstStageCost = 2 * time.Millisecond  // cost of a first stage in another data centre, for the bytes on the link
 )
 
+// Evidence is what a choice of a path rested on, for logs.
+type Evidence struct {
+	ViewAge  time.Duration // of what is known of the other nodes' requests
+	Unseen   float64       // requests that the other nodes have sent since, by their rate
+	Cost     float64       // of the path, in ms, with what spreads the choices of many nodes
+	NextCost float64       // of the cheapest path that ends in another data centre, in ms; 0 if there is none
+}
+
 // ReservePath reserves the path with the least cost that has capacity on each stage, or returns nil if there is none.
 // The stages run each layer once and in order, each on an upstream that holds its layers. Ejected upstreams are used
 // only where there is no path without them.
 func (b *Board) ReservePath(list []*fleet.Upstream, n *Need) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	hops, expected := b.choosePath(list, n)
+	hops, expected, evidence := b.choosePath(list, n)
 	if hops == nil {
 		return nil
 	}
 	r := &Reservation{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.PromptTokens + n.OutputTokens,
-		promptTokens: n.PromptTokens, modelLayers: n.Engine.Layers, Expected: expected}
+		promptTokens: n.PromptTokens, modelLayers: n.Engine.Layers, Expected: expected, Evidence: evidence}
 	for _, h := range hops {
 		b.addReservation(r, h, 1)
 		r.addPrefill(h, 1)
@@ -74,11 +82,16 @@
 	if b.nodes <= 1 {
 		return 0
 	}
+	return fleetRate * b.ageOfView().Seconds() * float64(b.nodes-1) / float64(b.nodes)
+}
+
+// ageOfView returns how old the newest claims of other nodes are, at most the time for which they count.
+func (b *Board) ageOfView() time.Duration {
 	age := b.viewAge
 	if !b.gossipAt.IsZero() {
 		age += b.now().Sub(b.gossipAt)
 	}
-	return fleetRate * min(age, claimTTL).Seconds() * float64(b.nodes-1) / float64(b.nodes)
+	return min(age, claimTTL)
 }
 
 // SetViewAge sets how old the claims in other nodes' gossip are in the mean when it arrives.
@@ -88,39 +101,43 @@
 	b.viewAge = d
 }
 
-// choosePath returns a path and the latencies expected on it, or nil if there is none within the limit on the first event. If
-// the path that was drawn is too slow, the cheapest one is taken if it would be fast enough even if many of the requests that
+// choosePath returns a path, the latencies expected on it and the evidence, or nil if there is none within the limit on the first
+// event. If the path that was drawn is too slow, the cheapest one is taken if it would be fast enough even if many of the requests that
 // are not seen yet were sent there as well.
-func (b *Board) choosePath(list []*fleet.Upstream, n *Need) ([]Hop, Estimate) {
+func (b *Board) choosePath(list []*fleet.Upstream, n *Need) ([]Hop, Estimate, Evidence) {
 	unseen := b.unseen(n.FleetRate)
-	hops, expected := b.drawPath(list, n, unseen)
+	hops, expected, evidence := b.drawPath(list, n, unseen)
 	if hops == nil || n.FirstEventLimit <= 0 || expected.FirstEvent <= n.FirstEventLimit {
-		return hops, expected
+		return hops, expected, evidence
 	}
 	if unseen == 0 {
-		return nil, Estimate{}
+		return nil, Estimate{}, Evidence{}
 	}
-	hops, expected = b.drawPath(list, n, 0)
+	hops, expected, evidence = b.drawPath(list, n, 0)
 	if expected.FirstEvent+time.Duration(crowdShare*unseen*float64(expected.longestPrefill)) > n.FirstEventLimit {
-		return nil, Estimate{}
+		return nil, Estimate{}, Evidence{}
 	}
-	return hops, expected
+	return hops, expected, evidence
 }
 
-// drawPath returns a path and the latencies expected on it, or nil if there is none. It is the cheapest one if no requests
-// are unseen, and the more random the more are.
-func (b *Board) drawPath(list []*fleet.Upstream, n *Need, unseen float64) ([]Hop, Estimate) {
+// drawPath returns a path, the latencies expected on it and the evidence, or nil if there is none. It is the cheapest one if no
+// requests are unseen, and the more random the more are.
+func (b *Board) drawPath(list []*fleet.Upstream, n *Need, unseen float64) ([]Hop, Estimate, Evidence) {
 	whole := fleet.Range{From: 0, To: n.Engine.Layers}
 	drawn := *n
 	drawn.unseen = unseen
-	hops := b.search(list, &drawn, whole, "", false)
+	p := b.newSearch(list, &drawn, whole, "", false)
+	hops := p.run()
 	if hops == nil {
-		hops = b.search(list, &drawn, whole, "", true)
+		p = b.newSearch(list, &drawn, whole, "", true)
+		hops = p.run()
 	}
 	if hops == nil {
-		return nil, Estimate{}
+		return nil, Estimate{}, Evidence{}
 	}
-	return hops, b.estimate(n, hops)
+	evidence := Evidence{ViewAge: b.ageOfView(), Unseen: unseen}
+	evidence.Cost, evidence.NextCost = p.endCosts()
+	return hops, b.estimate(n, hops), evidence
 }
 
 // addReservation reserves the capacity of a stage if sign is 1, and releases it if sign is -1.
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -14,7 +14,8 @@
 	Upstream     *fleet.Upstream // the request is sent to it
 	hops         []Hop           // guarded by the board's mutex
 	Expected     Estimate
-	tokens       float64 // prompt and expected output
+	Evidence     Evidence // of the choice of the path
+	tokens       float64  // prompt and expected output
 	promptTokens float64
 	modelLayers  int
 	crossedLinks []Key            // links that the prompt is crossing
--- a/core/board/search.go
+++ b/core/board/search.go
@@ -136,6 +136,17 @@
 	return least
 }
 
+// endCosts returns the least cost of the whole span, and the least of those that end in other data centres, or 0 if there is none.
+func (p *pathSearch) endCosts() (least, next float64) {
+	end := p.cheapestEnd()
+	for i := len(p.best) - len(p.centres); i < len(p.best); i++ {
+		if cost := p.best[i].cost; i != end && !math.IsInf(cost, 1) && (next == 0 || cost < next) {
+			next = cost
+		}
+	}
+	return p.best[end].cost, next
+}
+
 // path returns the stages on the way to a step, or nil if there is none.
 func (p *pathSearch) path(end int) []Hop {
 	width := len(p.centres)
--- a/core/board/spread_test.go
+++ b/core/board/spread_test.go
@@ -1,8 +1,11 @@
 package board
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"rhubarbspread/core/fleet"
 )
 
 // TestManyNodesSpreadTheirChoices guards against nodes that all choose the same upstreams while they do not know of each
@@ -25,3 +28,29 @@
 		})
 	}
 }
+
+// TestChoiceTellsWhatItRestedOn guards against log lines on choices from which nobody sees how old the node's knowledge was.
+func TestChoiceTellsWhatItRestedOn(t *testing.T) {
+	near, far := upstream("near", "a", "big", 0, 80), upstream("far", "b", "big", 0, 80)
+	for _, tc := range []struct {
+		name    string
+		list    []*fleet.Upstream
+		unseen  float64
+		hasNext bool
+	}{
+		{"one data centre", []*fleet.Upstream{near}, 15, false},
+		{"two data centres", []*fleet.Upstream{near, far}, 15, true},
+		{"an unknown rate", []*fleet.Upstream{near, far}, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := doubtingNode(newClock(), 1, 4, tc.list) // a view of 0.2 s
+			n := need()
+			n.FleetRate = tc.unseen / 0.2 * 4 / 3 // the node sees its own quarter at once
+			e := b.ReservePath(tc.list, n).Evidence
+			if e.ViewAge != 200*time.Millisecond || math.Abs(e.Unseen-tc.unseen) > 0.01 || e.Cost <= 0 ||
+				(e.NextCost > 0) != tc.hasNext || tc.hasNext && e.NextCost < e.Cost {
+				t.Errorf("the choice rested on %+v, want a view of 0.2 s, %v unseen and a next cost: %v", e, tc.unseen, tc.hasNext)
+			}
+		})
+	}
+}
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -66,7 +66,9 @@
 	rulesVersion, listVersion := r.executor.fleet.Versions()
 	r.executor.log.Info("attempt", "request", r.request.ID, "number", number, "beside", beside, "upstream", res.Upstream.ID,
 		"path", board.Describe(res.Hops()), "expected-first-ms", res.Expected.FirstEvent.Milliseconds(),
-		"expected-pause-ms", res.Expected.EventGap.Milliseconds(), "last-event", lastEventID,
+		"expected-pause-ms", res.Expected.EventGap.Milliseconds(), "cost-ms", int(res.Evidence.Cost),
+		"next-cost-ms", int(res.Evidence.NextCost), "view-age-ms", res.Evidence.ViewAge.Milliseconds(),
+		"unseen", int(res.Evidence.Unseen), "last-event", lastEventID,
 		"rules-version", rulesVersion, "list-version", listVersion, "waited-ms", a.startedAt.Sub(r.started).Milliseconds())
 	return a
 }
