Keep candidates on standby from polling the lease while no holder is known

Cause: a candidate that leaves polling to the nodes that read the store for it polled all the same whenever no planner was known to be active: SetStandby had no test.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -110,7 +110,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		if _, held := l.Valid(); held || !l.holderActive() {
+		if _, held := l.Valid(); held || !l.holderActive() && !l.isStandby() {
 			return true
 		}
 	}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -192,3 +192,48 @@
 		}
 	})
 }
+
+// countingTable counts the reads of a table.
+type countingTable struct {
+	store.Table
+	reads atomic.Int64
+}
+
+// Get counts and reads.
+func (c *countingTable) Get(ctx context.Context, key string) (store.Row, error) {
+	c.reads.Add(1)
+	return c.Table.Get(ctx, key)
+}
+
+// TestStandbyLeavesPollingToOthers guards against polls by all of many candidates in the seconds in which none is known to hold
+// the lease, and against candidates that never return from standby.
+func TestStandbyLeavesPollingToOthers(t *testing.T) {
+	for _, isHolderActive := range []bool{false, true} {
+		t.Run(fmt.Sprint("a holder is active: ", isHolderActive), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &countingTable{Table: fake.NewTable()}
+				holder := lease.New(table, "capacity", "holder", term)
+				holder.Step(t.Context())
+				l := lease.New(table, "capacity", "b", term)
+				var isStandby atomic.Bool
+				isStandby.Store(true)
+				l.SetStandby(isStandby.Load)
+				l.SetHolderActive(func() bool { return isHolderActive })
+				table.reads.Store(0)
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := l.Run(ctx)
+				time.Sleep(3 * term)
+				if n := table.reads.Load(); n > 1 {
+					t.Errorf("on standby it has read %d times, want once at its start", n)
+				}
+				isStandby.Store(false)
+				time.Sleep(3 * term)
+				if _, ok := l.Valid(); !ok {
+					t.Error("it has not taken over the lapsed lease within three terms after its standby")
+				}
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
