Log why a request for a model finds no room

Change: one line for each such refusal with the best path that there is, the objective, and the age of the evidence.

Result: TestShortageTellsWhatIsLacking.

--- a/core/board/path.go
+++ b/core/board/path.go
@@ -140,6 +140,23 @@
 	return hops, b.estimate(n, hops), evidence
 }
 
+// Shortage says why a request gets no path.
+type Shortage struct {
+	HasPath    bool          // there is one with room on each stage
+	FirstEvent time.Duration // predicted on the cheapest such path
+	Evidence   Evidence
+}
+
+// ShortageOf returns what there is for a request whose path would be too slow, or that finds no room.
+func (b *Board) ShortageOf(list []*fleet.Upstream, n *Need) Shortage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	unseen := b.unseen(n.FleetRate)
+	hops, expected, evidence := b.drawPath(list, n, 0)
+	evidence.ViewAge, evidence.Unseen = b.ageOfView(), unseen
+	return Shortage{HasPath: hops != nil, FirstEvent: expected.FirstEvent, Evidence: evidence}
+}
+
 // addReservation reserves the capacity of a stage if sign is 1, and releases it if sign is -1.
 func (b *Board) addReservation(r *Reservation, h Hop, sign int) {
 	s := b.state(KeyOf(h.Upstream))
--- a/core/board/spread_test.go
+++ b/core/board/spread_test.go
@@ -54,3 +54,29 @@
 		})
 	}
 }
+
+// TestShortageTellsWhatIsLacking guards against refusals from whose log line nobody sees whether room or speed was lacking.
+func TestShortageTellsWhatIsLacking(t *testing.T) {
+	list := []*fleet.Upstream{upstream("u", "a", "big", 0, 80)}
+	for _, tc := range []struct {
+		name    string
+		need    func(n *Need)
+		hasPath bool
+	}{
+		{"room", func(n *Need) { n.PromptTokens = 1e9 }, false},
+		{"speed", func(n *Need) { n.FirstEventLimit = time.Microsecond }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := doubtingNode(newClock(), 1, 4, list)
+			n := need()
+			tc.need(n)
+			if b.ReservePath(list, n) != nil {
+				t.Fatal("there is a path")
+			}
+			if s := b.ShortageOf(list, n); s.HasPath != tc.hasPath || (s.FirstEvent > n.FirstEventLimit) != tc.hasPath ||
+				s.Evidence.ViewAge != 200*time.Millisecond {
+				t.Errorf("%+v, want a path that is too slow: %v", s, tc.hasPath)
+			}
+		})
+	}
+}
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -241,6 +241,7 @@
 		select {
 		case <-freed:
 		case <-until.C:
+			r.logShortage(time.Since(began))
 			return nil, r.refusal("no upstream has room")
 		case <-ctx.Done():
 			return nil, r.refusal("its time is over")
@@ -258,6 +259,18 @@
 	return r.executor.board.ReservePath(list, r.need(exclude))
 }
 
+// logShortage logs on what evidence a request that waited for room is refused.
+func (r *run) logShortage(waited time.Duration) {
+	if r.request.Service.Engine == nil {
+		return
+	}
+	n := r.need(r.excluded())
+	s := r.executor.board.ShortageOf(r.executor.fleet.Upstreams(r.request.Service.Name), n)
+	r.executor.log.Info("no-room", "request", r.request.ID, "has-path", s.HasPath, "least-first-ms", s.FirstEvent.Milliseconds(),
+		"limit-ms", n.FirstEventLimit.Milliseconds(), "excluded", len(n.Exclude), "view-age-ms", s.Evidence.ViewAge.Milliseconds(),
+		"unseen", int(s.Evidence.Unseen), "waited-ms", waited.Milliseconds())
+}
+
 // restWait returns after how long upstreams that want rest can serve the request, if no others can, or 0.
 func (r *run) restWait() time.Duration {
 	service := r.request.Service
