Drop what nobody reads of the newest word of the store

Cause: newestWord told whether the node is behind, which mustPoll now decides by what it has read itself. A word taken with news is the one on what the node has then, also if an earlier one of the store to itself was later.

--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -155,8 +155,8 @@
 // storeState returns the store's data that this node has.
 func (n *Node) storeState() mesh.StoreState {
 	// In this order: the data hold at least what the words cover.
-	rulesWord, _ := n.newestWord(store.Configuration)
-	listWord, _ := n.newestWord(store.Upstreams)
+	rulesWord := n.newestWord(store.Configuration)
+	listWord := n.newestWord(store.Upstreams)
 	v := n.view.Load()
 	if v == nil {
 		return mesh.StoreState{}
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rhubarbspread/core/store"
@@ -59,19 +60,12 @@
 	ch.version = newestVersion(ch.rows)
 	select {
 	case changes <- ch:
-		f.since, f.confirmedAt = word.Through, later(f.confirmedAt, word.ConfirmedAt)
+		f.since, f.confirmedAt = word.Through, word.ConfirmedAt
 		n.stats.Count("list-changes-from-nodes")
 	case <-ctx.Done():
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // joinWords returns what a node knows that has all changes of two words. Of two eras of the store the later one counts.
 func joinWords(a, b mesh.Word) mesh.Word {
 	switch {
@@ -86,9 +80,7 @@
 	if b.Changed.Compare(a.Changed) > 0 {
 		a.Changed = b.Changed
 	}
-	if b.ConfirmedAt.After(a.ConfirmedAt) {
-		a.ConfirmedAt = b.ConfirmedAt
-	}
+	a.ConfirmedAt = slices.MaxFunc([]time.Time{a.ConfirmedAt, b.ConfirmedAt}, time.Time.Compare)
 	return a
 }
 
@@ -101,16 +93,14 @@
 }
 
 // newestWord returns the newest word of the store on a topic, to this node or to another one of whose word this node has all
-// changes, and whether another node knows of a change that this one may lack.
-func (n *Node) newestWord(t store.Topic) (w mesh.Word, isBehind bool) {
+// changes.
+func (n *Node) newestWord(t store.Topic) mesh.Word {
 	evidence := n.evidence(t)
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	w = n.words[t]
-	if evidence.ConfirmedAt.After(w.ConfirmedAt) {
-		w.ConfirmedAt = evidence.ConfirmedAt
-	}
-	return w, evidence.IsBehind
+	w := n.words[t]
+	w.ConfirmedAt = slices.MaxFunc([]time.Time{w.ConfirmedAt, evidence.ConfirmedAt}, time.Time.Compare)
+	return w
 }
 
 // isOfMany reports whether the nodes are so many that they exchange their states through relays.
@@ -181,7 +171,7 @@
 // the news that would tell it have not come.
 func (n *Node) mustPoll(f *follower, deadline time.Duration) bool {
 	evidence := n.mesh.EvidenceFor(f.topic, f.since)
-	if time.Since(later(f.confirmedAt, evidence.ConfirmedAt)) >= deadline {
+	if time.Since(f.confirmedAt) >= deadline && time.Since(evidence.ConfirmedAt) >= deadline {
 		return true
 	}
 	switch {
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -49,7 +49,7 @@
 				}
 				got := c.node.storeState().ListWord
 				if c.node.view.Load() == nil {
-					got, _ = c.node.newestWord(store.Upstreams)
+					got = c.node.newestWord(store.Upstreams)
 				}
 				if got.Through != tc.through || got.Changed != tc.changed {
 					t.Errorf("the word covers %+v and changes up to %+v, want %+v and %+v", got.Through, got.Changed, tc.through,
