Compute what a choice rested on only where it is logged

Cause: since the spread of choices is out, the fleet's rate and the unseen requests serve log lines alone, but were computed for each look for room, under the budget's and the board's locks, also for those that found none.

Change: Need has no rate any more; the evidence is taken of a search that succeeded or whose failure is logged, and the unseen requests follow from its age and the rate at the line itself. Lines and tests' assertions stay.

Result: tests of core/board and core/proxy pass with the race detector.

--- a/core/board/path.go
+++ b/core/board/path.go
@@ -18,7 +18,6 @@
 	HasConnection   func(*fleet.Upstream) bool // reports whether an idle connection to it is open; nil if unknown
 	FirstEventLimit time.Duration              // a path with a later predicted first event is rejected; 0 for no limit
 	EventGap        time.Duration              // objective for the time between events; 0 for none
-	FleetRate       float64                    // requests a second to the model that arrive at all nodes; 0 if unknown
 }
 
 // Estimate holds the predicted latencies of a generation on a path.
@@ -41,10 +40,16 @@
 
 // Evidence is what a choice of a path rested on, for logs.
 type Evidence struct {
-	ViewAge  time.Duration // of what is known of the other nodes' requests
-	Unseen   float64       // requests that the other nodes have sent since, by their rate
-	Cost     float64       // of the path, in ms
-	NextCost float64       // of the cheapest path that ends in another data centre, in ms; 0 if there is none
+	ViewAge     time.Duration // of what is known of the other nodes' requests
+	Cost        float64       // of the path, in ms; infinite if there is none
+	NextCost    float64       // of the cheapest path that ends in another data centre, in ms; 0 if there is none
+	othersShare float64       // of the requests that arrive at all nodes
+}
+
+// Unseen returns how many requests the other nodes have sent of which the node did not know, as its view of them was old. The rate
+// is that of the requests a second that arrive at all nodes.
+func (e Evidence) Unseen(fleetRate float64) float64 {
+	return fleetRate * e.ViewAge.Seconds() * e.othersShare
 }
 
 // ReservePath reserves the path with the least cost that has capacity on each stage, or returns nil if there is none.
@@ -53,12 +58,16 @@
 func (b *Board) ReservePath(list []*fleet.Upstream, n *Need) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	hops, expected, evidence := b.cheapestPath(list, n)
-	if hops == nil || n.FirstEventLimit > 0 && expected.FirstEvent > n.FirstEventLimit {
+	p, hops := b.searchWhole(list, n)
+	if hops == nil {
+		return nil
+	}
+	expected := b.estimate(n, hops)
+	if n.FirstEventLimit > 0 && expected.FirstEvent > n.FirstEventLimit {
 		return nil
 	}
 	r := &Reservation{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.PromptTokens + n.OutputTokens,
-		promptTokens: n.PromptTokens, modelLayers: n.Engine.Layers, Expected: expected, Evidence: evidence}
+		promptTokens: n.PromptTokens, modelLayers: n.Engine.Layers, Expected: expected, Evidence: b.evidenceOf(p)}
 	for _, h := range hops {
 		b.addReservation(r, h, 1)
 		r.addPrefill(h, 1)
@@ -72,14 +81,6 @@
 	return r
 }
 
-// unseen returns how many requests other nodes have sent that this node does not know of, as its view of them is old.
-func (b *Board) unseen(fleetRate float64) float64 {
-	if b.nodes <= 1 {
-		return 0
-	}
-	return fleetRate * b.ageOfView().Seconds() * float64(b.nodes-1) / float64(b.nodes)
-}
-
 // ageOfView returns how old the newest claims of other nodes are, at most the time for which they count.
 func (b *Board) ageOfView() time.Duration {
 	age := b.viewAge
@@ -96,8 +97,8 @@
 	b.viewAge = d
 }
 
-// cheapestPath returns the path with the least cost, the latencies expected on it and the evidence, or nil if there is none.
-func (b *Board) cheapestPath(list []*fleet.Upstream, n *Need) ([]Hop, Estimate, Evidence) {
+// searchWhole searches the path with the least cost, and returns the search with its result, nil if there is none.
+func (b *Board) searchWhole(list []*fleet.Upstream, n *Need) (*pathSearch, []Hop) {
 	whole := fleet.Range{From: 0, To: n.Engine.Layers}
 	p := b.newSearch(list, n, whole, "", false)
 	hops := p.run()
@@ -105,12 +106,14 @@
 		p = b.newSearch(list, n, whole, "", true)
 		hops = p.run()
 	}
-	evidence := Evidence{ViewAge: b.ageOfView(), Unseen: b.unseen(n.FleetRate)}
-	if hops == nil {
-		return nil, Estimate{}, evidence
-	}
-	evidence.Cost, evidence.NextCost = p.endCosts()
-	return hops, b.estimate(n, hops), evidence
+	return p, hops
+}
+
+// evidenceOf returns what a search rested on.
+func (b *Board) evidenceOf(p *pathSearch) Evidence {
+	e := Evidence{ViewAge: b.ageOfView(), othersShare: float64(b.nodes-1) / float64(b.nodes)}
+	e.Cost, e.NextCost = p.endCosts()
+	return e
 }
 
 // Shortage says why a request gets no path.
@@ -124,8 +127,8 @@
 func (b *Board) ShortageOf(list []*fleet.Upstream, n *Need) Shortage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	hops, expected, evidence := b.cheapestPath(list, n)
-	return Shortage{HasPath: hops != nil, FirstEvent: expected.FirstEvent, Evidence: evidence}
+	p, hops := b.searchWhole(list, n)
+	return Shortage{HasPath: hops != nil, FirstEvent: b.estimate(n, hops).FirstEvent, Evidence: b.evidenceOf(p)}
 }
 
 // addReservation reserves the capacity of a stage if sign is 1, and releases it if sign is -1.
--- a/core/board/spread_test.go
+++ b/core/board/spread_test.go
@@ -44,10 +44,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := doubtingNode(newClock(), 1, 4, tc.list) // a view of 0.2 s
-			n := need()
-			n.FleetRate = tc.unseen / 0.2 * 4 / 3 // the node sees its own quarter at once
-			e := b.ReservePath(tc.list, n).Evidence
-			if e.ViewAge != 200*time.Millisecond || math.Abs(e.Unseen-tc.unseen) > 0.01 || e.Cost <= 0 ||
+			e := b.ReservePath(tc.list, need()).Evidence
+			unseen := e.Unseen(tc.unseen / 0.2 * 4 / 3) // the node sees its own quarter at once
+			if e.ViewAge != 200*time.Millisecond || math.Abs(unseen-tc.unseen) > 0.01 || e.Cost <= 0 ||
 				(e.NextCost > 0) != tc.hasNext || tc.hasNext && e.NextCost < e.Cost {
 				t.Errorf("the choice rested on %+v, want a view of 0.2 s, %v unseen and a next cost: %v", e, tc.unseen, tc.hasNext)
 			}
--- a/core/board/stale_test.go
+++ b/core/board/stale_test.go
@@ -291,8 +291,7 @@
 func (q *staleRequest) try() {
 	f, b := q.fleet, q.fleet.boards[q.node]
 	r := b.ReservePath(f.list, &Need{Engine: f.engine, DataCentre: f.centres[q.node], PromptTokens: q.prompt,
-		OutputTokens: q.output, Exclude: q.exclude, FirstEventLimit: streamAim, EventGap: eventGapAim,
-		FleetRate: f.perSecond})
+		OutputTokens: q.output, Exclude: q.exclude, FirstEventLimit: streamAim, EventGap: eventGapAim})
 	if r == nil {
 		if f.clock.now().Sub(q.arrivedAt) >= roomPatience {
 			f.result.noRoom++
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -68,7 +68,7 @@
 		"path", board.Describe(res.Hops()), "expected-first-ms", res.Expected.FirstEvent.Milliseconds(),
 		"expected-pause-ms", res.Expected.EventGap.Milliseconds(), "cost-ms", int(res.Evidence.Cost),
 		"next-cost-ms", int(res.Evidence.NextCost), "view-age-ms", res.Evidence.ViewAge.Milliseconds(),
-		"unseen", int(res.Evidence.Unseen), "last-event", lastEventID,
+		"unseen", r.unseen(res.Evidence), "last-event", lastEventID,
 		"rules-version", rulesVersion, "list-version", listVersion, "waited-ms", a.startedAt.Sub(r.started).Milliseconds())
 	return a
 }
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -268,7 +268,12 @@
 	s := r.executor.board.ShortageOf(r.executor.fleet.Upstreams(r.request.Service.Name), n)
 	r.executor.log.Info("no-room", "request", r.request.ID, "has-path", s.HasPath, "least-first-ms", s.FirstEvent.Milliseconds(),
 		"limit-ms", n.FirstEventLimit.Milliseconds(), "excluded", len(n.Exclude), "view-age-ms", s.Evidence.ViewAge.Milliseconds(),
-		"unseen", int(s.Evidence.Unseen), "waited-ms", waited.Milliseconds())
+		"unseen", r.unseen(s.Evidence), "waited-ms", waited.Milliseconds())
+}
+
+// unseen returns how many requests of other nodes a choice did not know of, for logs.
+func (r *run) unseen(e board.Evidence) int {
+	return int(e.Unseen(r.executor.budget.Rate(r.request.Service.Name)))
 }
 
 // restWait returns after how long upstreams that want rest can serve the request, if no others can, or 0.
@@ -298,7 +303,6 @@
 		HasConnection:   r.executor.transport.HasConnection,
 		FirstEventLimit: maxFirstEventWait(r.request.Route),
 		EventGap:        r.request.Route.EventGapObjective,
-		FleetRate:       r.executor.budget.Rate(r.request.Service.Name),
 	}
 }
 
