Reproduce a part that crashes upstreams in the middle of their answers

Callers' requests with one part in their prompts kept crashing upstreams. The stand-ins crashed an upstream 20 ms after a request had reached it, before its first event. Now the moment can be chosen, also uneven stages that load long, prompts of two parts, several crashing parts, and streams that are resumed go on after their last event. A send counts when it reaches an upstream, not when that crashes, which is stricter where the crash comes later.

--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -31,6 +31,7 @@
 	crasherNodes       = 24              // enough for relays
 	ticksPerPeriod     = 10              // each node sends its datagrams in a tick of its own
 	tickLength         = gossipPeriod / ticksPerPeriod
+	earlyCrash         = 20 * time.Millisecond // after a request reached its upstream
 	crasherBody        = "crash"
 )
 
@@ -245,8 +246,9 @@
 	limit := v.fleet.limits.arrive(v.node, s.Upstream.ID)
 	crashed := v.fleet.beginAt(s.Upstream)
 	if cause := crashCause(s.Request); cause != "" && !time.Now().Before(v.fleet.turnAt) {
-		time.Sleep(20 * time.Millisecond)
-		v.fleet.crash(cause, s.Upstream, v)
+		v.fleet.noteSend(cause, v)
+		time.Sleep(earlyCrash)
+		v.fleet.crash(cause, s.Upstream)
 	}
 	select {
 	case <-crashed:
@@ -320,17 +322,22 @@
 	f.cutUntil[dataCentre] = time.Now()
 }
 
-// crash crashes an upstream and counts the send; a node that is not in touch is not held to the bound.
-func (f *crasherFleet) crash(cause string, u *fleet.Upstream, v *nodeView) {
+// noteSend counts a send that reaches an upstream; a node that is not in touch is not held to the bound.
+func (f *crasherFleet) noteSend(cause string, v *nodeView) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
 	crashes, bound := f.crashes[cause], boundAfter(cause)
-	if len(crashes) >= bound && now.Sub(crashes[bound-1]) > f.lateAfter && f.isInTouch(v) {
+	if len(crashes) >= bound && time.Since(crashes[bound-1]) > f.lateAfter && f.isInTouch(v) {
 		f.lateSends[cause]++
 	}
+}
+
+// crash crashes an upstream.
+func (f *crasherFleet) crash(cause string, u *fleet.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.stopLocked(u, f.downTime) {
-		f.crashes[cause] = append(crashes, now)
+		f.crashes[cause] = append(f.crashes[cause], time.Now())
 	}
 }
 
--- a/io/mesh/outage_test.go
+++ b/io/mesh/outage_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"slices"
@@ -16,9 +17,14 @@
 // outageCase is a part that crashes a service of few upstreams.
 type outageCase struct {
 	nodes     int
-	upstreams int // or paths, if stages is set
-	stages    int // of each path; 0 for upstreams that hold the whole model
-	crashes   int // the stage that crashes, from 0 on
+	upstreams int           // or paths, if stages is set
+	stages    int           // of each path; 0 for upstreams that hold the whole model
+	crashes   int           // the stage that crashes, from 0 on
+	after     time.Duration // from the arrival of a request to the crash; by default earlyCrash
+	isUneven  bool          // the paths are cut at different layers
+	reload    time.Duration // until the layers of an upstream that is back are loaded; by default reloadTime
+	parts     int           // that crash upstreams; 0 for one
+	isShort   bool          // the prompts have two parts, the first of which crashes
 	perSecond float64
 	answer    time.Duration
 	downTime  time.Duration // until a crashed upstream is back; by default upstreamDownTime
@@ -32,8 +38,21 @@
 	if c.stages > 0 {
 		kind = fmt.Sprintf("paths of %d", c.stages)
 	}
-	return fmt.Sprintf("%d nodes, %d %s, back after %v, %v a second, answers of %v, sound for %v %s", c.nodes, c.upstreams, kind,
+	text := fmt.Sprintf("%d nodes, %d %s, back after %v, %v a second, answers of %v, sound for %v %s", c.nodes, c.upstreams, kind,
 		c.downTime, c.perSecond, c.answer, c.sound, c.name)
+	if c.after > 0 {
+		text += fmt.Sprintf(", crashes after %v", c.after)
+	}
+	if c.isUneven {
+		text += fmt.Sprintf(", uneven stages that load for %v", c.reload)
+	}
+	if c.isShort {
+		text += ", prompts of two parts"
+	}
+	if c.parts > 1 {
+		text += fmt.Sprintf(", %d crashing parts", c.parts)
+	}
+	return text
 }
 
 // playOutage plays a case at one seed and checks late sends, sound callers and sound parts.
@@ -46,19 +65,18 @@
 	t.Run(fmt.Sprintf("%v, seed %d", c, seed), func(t *testing.T) {
 		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
-			if c.downTime == 0 {
-				c.downTime = upstreamDownTime
-			}
+			c.downTime = cmp.Or(c.downTime, upstreamDownTime)
 			f := newCrasherFleet(t, c.nodes, seed)
 			f.downTime, f.lateAfter, f.answerTime, f.turnAt = c.downTime, stabilityBound, c.answer, time.Now().Add(c.sound)
 			if c.stages > 0 {
-				f.usePaths(c.upstreams, &pathLayout{stages: c.stages, crashStage: c.crashes, loadTime: reloadTime})
+				f.usePaths(c.upstreams, &pathLayout{stages: c.stages, crashStage: c.crashes, loadTime: cmp.Or(c.reload, reloadTime),
+					crashAfter: cmp.Or(c.after, earlyCrash), isUneven: c.isUneven})
 			} else {
 				f.upstreams = f.upstreams[:c.upstreams]
 			}
-			traffic := &partTraffic{fleet: f, perSecond: c.perSecond}
+			traffic := &partTraffic{fleet: f, perSecond: c.perSecond, isShort: c.isShort}
 			if c.perSecond > 0 {
-				traffic.crashing = 1
+				traffic.crashing = max(1, c.parts)
 			}
 			f.run(c.sound+crashTime, func(elapsed time.Duration) {
 				if c.disturb != nil {
@@ -70,8 +88,9 @@
 				check(f)
 			}
 			asked, served := f.countServed(time.Time{})
-			t.Logf("%d crashes, %d late sends, %d of %d sound requests served", len(f.crashes[crashingPart+"0"]),
-				f.lateSends[crashingPart+"0"], served, asked)
+			for cause, crashes := range f.crashes {
+				t.Logf("%s: %d crashes, %d late sends, %d of %d sound requests served", cause, len(crashes), f.lateSends[cause], served, asked)
+			}
 		})
 	})
 }
@@ -198,3 +217,29 @@
 		}
 	}
 }
+
+// TestPartThatCrashesInTheMiddleOfAnswersIsRefused guards against a part that is sent on because the upstreams which it crashes
+// have been writing its answers for some time.
+func TestPartThatCrashesInTheMiddleOfAnswersIsRefused(t *testing.T) {
+	const long, sound = 4 * time.Second, 6 * time.Second
+	var cases []outageCase
+	for _, after := range []time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+		for _, perSecond := range []float64{1, 4, 13, 30} {
+			cases = append(cases, outageCase{nodes: 9, upstreams: 8, stages: 2, perSecond: perSecond, answer: long, sound: sound, after: after},
+				outageCase{nodes: 9, upstreams: 8, stages: 3, perSecond: perSecond, answer: long, after: after, isShort: true})
+		}
+	}
+	for _, c := range append(cases, []outageCase{
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isUneven: true, reload: 6 * time.Second},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isUneven: true, reload: 6 * time.Second, isShort: true},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isShort: true},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 3, isShort: true},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 2},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 3, isShort: true, sound: sound},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, crashes: 1, sound: sound, after: 400 * time.Millisecond},
+	}...) {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkSends, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
+		}
+	}
+}
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -13,6 +13,7 @@
 	poisonedBody = "poisoned-"
 	firstPart    = "f1" // of all other prompts
 	middleParts  = 6    // that sound and crashing requests share
+	sharedParts  = 60   // of prompts of two parts
 )
 
 // partTraffic is the traffic of requests whose prompts share parts.
@@ -21,6 +22,7 @@
 	perSecond float64 // requests that crash upstreams
 	crashing  int     // parts that crash upstreams
 	isFirst   bool    // these parts are the first ones of their prompts
+	isShort   bool    // the prompts have two parts: one of sharedParts or a crashing one, and one of their own
 	sent      int
 }
 
@@ -28,6 +30,10 @@
 func (p *partTraffic) tick() {
 	f := p.fleet
 	p.sent++
+	if p.isShort {
+		p.tickShort()
+		return
+	}
 	middle := fmt.Sprintf("ab%02d", f.random.IntN(middleParts))
 	f.askWithParts(f.random.IntN(len(f.nodes)), fmt.Sprint("sound-", p.sent), []string{firstPart, middle, "aa"})
 	if p.crashing == 0 || f.random.Float64() >= p.perSecond*tickLength.Seconds() {
@@ -41,6 +47,17 @@
 	f.askWithParts(f.random.IntN(len(f.nodes)), fmt.Sprint(poisonedBody, p.sent), parts)
 }
 
+// tickShort is tick for prompts of two parts.
+func (p *partTraffic) tickShort() {
+	f := p.fleet
+	shared := fmt.Sprintf("ab%02d", f.random.IntN(sharedParts))
+	f.askWithParts(f.random.IntN(len(f.nodes)), fmt.Sprint("sound-", p.sent), []string{shared, fmt.Sprint("own-", p.sent)})
+	if p.crashing > 0 && f.random.Float64() < p.perSecond*tickLength.Seconds() {
+		part := fmt.Sprint(crashingPart, f.random.IntN(p.crashing))
+		f.askWithParts(f.random.IntN(len(f.nodes)), fmt.Sprint(poisonedBody, p.sent), []string{part, fmt.Sprint("own-", p.sent)})
+	}
+}
+
 // partCase is a traffic with disturbances beside it.
 type partCase struct {
 	name      string
--- a/io/mesh/paths_test.go
+++ b/io/mesh/paths_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,8 +22,10 @@
 type pathLayout struct {
 	stages   int           // of each path
 	loadTime time.Duration // until an upstream that is back holds its layers again
-	// crashStage is the stage that dies of a crashing request, from 0 on.
+	// crashStage is the stage that dies of a crashing request, from 0 on, crashAfter after the request reached the first one.
 	crashStage int
+	crashAfter time.Duration
+	isUneven   bool // the stages of a path hold different numbers of layers, and the paths are cut at different ones
 	engine     *rules.Engine
 
 	mu      sync.Mutex
@@ -47,8 +50,13 @@
 	layout.stalled = make(map[string]map[string]string)
 	f.paths = layout
 	f.upstreams = nil
-	bound := func(stage int) int { return stage * modelLayers / layout.stages }
 	for p := range paths {
+		bound := func(stage int) int { return stage * modelLayers / layout.stages }
+		if layout.isUneven {
+			cuts := f.random.Perm(modelLayers - 1)[:layout.stages-1]
+			slices.Sort(cuts)
+			bound = func(stage int) int { return slices.Concat([]int{-1}, cuts, []int{modelLayers - 1})[stage] + 1 }
+		}
 		for s := range layout.stages {
 			f.upstreams = append(f.upstreams, &fleet.Upstream{
 				ID: fmt.Sprintf("p%d-%d", p, s), Service: "s", DataCentre: string(rune('a' + p%4)), Slots: 192, Card: pathCard,
@@ -104,27 +112,41 @@
 func (v *nodeView) sendAlongPath(ctx context.Context, s *proxy.Send) (*proxy.Answer, error) {
 	f := v.fleet
 	first := f.beginAt(s.Upstream)
+	ctx, end := context.WithCancel(ctx)
 	if cause := crashCause(s.Request); cause != "" && !time.Now().Before(f.turnAt) {
-		stage := s.Hops[min(f.paths.crashStage, len(s.Hops)-1)].Upstream
-		time.Sleep(20 * time.Millisecond)
-		if !f.isDown(stage) {
-			f.beginAt(stage)
-			f.crash(cause, stage, v)
-		}
+		f.noteSend(cause, v)
+		f.requests.Go(func() { v.crashLater(ctx, cause, s.Hops[min(f.paths.crashStage, len(s.Hops)-1)].Upstream) })
 	}
 	broken := []<-chan struct{}{first}
 	for _, h := range s.Hops[1:] {
 		if f.isDown(h.Upstream) {
-			return v.stall(ctx, s, h.Upstream, first)
+			return v.stall(ctx, end, s, h.Upstream, first)
 		}
 		broken = append(broken, f.beginAt(h.Upstream))
 	}
-	body := &streamBody{view: v, ctx: ctx, send: s, broken: broken, pause: firstEventGap, left: int(f.answerTime / eventInterval)}
+	next, _ := strconv.Atoi(s.ResumeAfter) // 0 if it is not resumed
+	body := &streamBody{view: v, ctx: ctx, end: end, send: s, broken: broken, pause: firstEventGap, next: next,
+		last: int(f.answerTime / eventInterval)}
 	return &proxy.Answer{AnswerInfo: proxy.AnswerInfo{Sealed: true}, Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
 }
 
+// crashLater crashes a stage some time after a request has reached its path, unless the request has ended before.
+func (v *nodeView) crashLater(ctx context.Context, cause string, stage *fleet.Upstream) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(v.fleet.paths.crashAfter):
+		if !v.fleet.isDown(stage) {
+			v.fleet.beginAt(stage)
+			v.fleet.crash(cause, stage)
+		}
+	}
+}
+
 // stall waits for a dead stage as an engine does, and then refuses the request.
-func (v *nodeView) stall(ctx context.Context, s *proxy.Send, dead *fleet.Upstream, first <-chan struct{}) (*proxy.Answer, error) {
+func (v *nodeView) stall(
+	ctx context.Context, end context.CancelFunc, s *proxy.Send, dead *fleet.Upstream, first <-chan struct{},
+) (*proxy.Answer, error) {
+	defer end()
 	v.fleet.paths.setStalled(s, dead.Address)
 	defer v.fleet.paths.setStalled(s, "")
 	select {
@@ -176,26 +198,31 @@
 type streamBody struct {
 	view   *nodeView
 	ctx    context.Context
+	end    context.CancelFunc // of ctx
 	send   *proxy.Send
 	broken []<-chan struct{} // by stage; closed when it ends
 	pause  time.Duration
-	next   int
-	left   int // events
+	next   int // ID of the latest event
+	last   int // ID of the last one
 	buffer []byte
 }
 
-func (b *streamBody) Close() error { return nil }
+func (b *streamBody) Close() error {
+	b.end()
+	return nil
+}
 
 func (b *streamBody) Read(p []byte) (int, error) {
 	if len(b.buffer) == 0 {
-		if b.left == 0 {
+		if b.next >= b.last {
+			b.end()
 			return 0, io.EOF
 		}
 		if err := b.wait(); err != nil {
+			b.end()
 			return 0, err
 		}
 		b.next++
-		b.left--
 		b.pause = eventInterval
 		b.buffer = fmt.Appendf(nil, "id: %d\ndata: x\n\n", b.next)
 	}
