Mark deaths at any moment of an answer, and let only whole answers acquit parts

Callers' requests with one part kept crashing upstreams once the crash came more than a second into an answer: such deaths marked nobody, and two seconds of writing withdrew the marks of all others. Cause: one assumption in two places, that a crash follows the start of a request. Now a death marks all that ran there, a whole answer that one upstream wrote acquits, and the end of a resumed one does not. The number of deaths counts for parts, not how early they came, and of a broad and a narrow part neither explains the other unless it was at far more deaths. A request whose answer had begun at a death needs one more for a quarantine.

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -27,11 +27,18 @@
 	return r.stamp()
 }
 
-// Answered records an answer to a request with some parts that began at a stamp and did not crash its upstream. That
-// withdraws the marks that were set on the parts before. It returns the marks to send to the other nodes.
-func (r *Registry) Answered(parts []Fingerprint, begun uint64) []Mark {
+// Answered records a complete answer to a request with some parts that began at a stamp and took a time. That withdraws the
+// marks that were set on the parts before it began. It returns the marks to send to the other nodes.
+func (r *Registry) Answered(parts []Fingerprint, begun uint64, took time.Duration) []Mark {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch {
+	case len(parts) == 0: // of another kind, which may be far quicker
+	case r.meanAnswerTime == 0:
+		r.meanAnswerTime = took
+	default:
+		r.meanAnswerTime += (took - r.meanAnswerTime) / answerTimeDecay
+	}
 	r.noteAnswer(parts, begun)
 	var marks []Mark
 	for _, f := range parts {
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -200,10 +200,14 @@
 // outranks reports whether g is a more likely cause of a death than f: upstreams died more often while they ran it, or as
 // often and fewer requests would be refused because of it.
 func (r *Registry) outranks(g Fingerprint, other *record, f Fingerprint, rec *record) bool {
-	if f.IsPart() && g.IsPart() {
+	switch {
+	case f.IsPart() && g.IsPart():
 		return r.partOutranks(g, other, f, rec)
-	}
-	if other.weight != rec.weight {
+	case f.IsPart() || g.IsPart():
+		if len(other.deaths) != len(rec.deaths) {
+			return len(other.deaths) > len(rec.deaths)
+		}
+	case other.weight != rec.weight:
 		return other.weight > rec.weight
 	}
 	// Of two requests with the same deaths neither is blamed, until there is one more.
@@ -211,15 +215,16 @@
 }
 
 // partOutranks is outranks for two parts. A part that is in most requests is there at most deaths, so that its number of
-// deaths says little beside a part of few requests.
+// deaths says little beside a part of few requests, unless it is far higher.
 func (r *Registry) partOutranks(g Fingerprint, other *record, f Fingerprint, rec *record) bool {
+	more := len(other.deaths) - len(rec.deaths)
 	switch {
 	case r.isNarrower(g, f):
-		return other.weight >= rec.weight || len(other.deaths) >= partCrashesToQuarantine
+		return more >= -rivalMargin
 	case r.isNarrower(f, g):
-		return false
+		return more > rivalMargin
 	}
-	return other.weight > rec.weight
+	return more > 0
 }
 
 // isNarrower reports whether a part is in far fewer requests than another.
@@ -231,7 +236,7 @@
 // weigh updates what follows from the deaths of a suspect. An answer that had begun speaks less against it.
 func (r *record) weigh(f Fingerprint) {
 	const earlyWeight, lateWeight = 2, 1
-	r.weight, r.wentSilent = 0, false
+	r.weight, r.wentSilent, r.brokeLate = 0, false, false
 	for _, d := range r.deaths {
 		switch d.marks[f].Symptom {
 		case BrokeBeforeFirstToken:
@@ -240,6 +245,7 @@
 			r.wentSilent = true
 			r.weight += lateWeight
 		default:
+			r.brokeLate = true
 			r.weight += lateWeight
 		}
 	}
@@ -251,7 +257,7 @@
 	if f.IsPart() {
 		required = partCrashesToQuarantine
 	}
-	if r.wentSilent {
+	if r.wentSilent || r.brokeLate && !f.IsPart() {
 		required++
 	}
 	return required
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -31,6 +31,7 @@
 	deaths        []*death
 	weight        int       // how strongly the deaths speak against it
 	wentSilent    bool      // at one of them the upstream went silent
+	brokeLate     bool      // at one of them the answer had begun
 	quarantineEnd time.Time // zero while it is not in quarantine
 	prolonged     int       // how often the quarantine was prolonged
 	refusedAt     time.Time // latest verdict of quarantine
@@ -39,6 +40,7 @@
 	trialAt       time.Time     // of this node's latest trial
 	fewestHeld    []Fingerprint // withheld parts of a request with it, the fewest of late
 	fewestHeldAt  time.Time
+	aloneSince    time.Time // when the broader parts of its requests were acquitted
 	openLoggedAt  time.Time // of the latest log line on why it is not in quarantine
 }
 
@@ -87,9 +89,11 @@
 	seenSweptAt time.Time
 	usage       usage
 	open        openParts
-	index       int // of this node among those that share the trials
-	nodes       int // that share them
-	log         logr.Logger
+	// meanAnswerTime is how long this node's latest complete answers took.
+	meanAnswerTime time.Duration
+	index          int // of this node among those that share the trials
+	nodes          int // that share them
+	log            logr.Logger
 }
 
 // deathID identifies the death of an upstream that ran a request.
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -37,7 +37,6 @@
 	isResumed    bool      // the caller had events before the first one of this attempt
 	wroteAnswer  bool      // the answer is a success and complete beyond doubt
 	paidAt       time.Time // when a retry of the budget was spent on it, or zero
-	hasAcquitted bool      // the answer has cleared the parts of the prompt
 
 	hasWon      bool // the current attempt has been canceled for it; guarded by run.mu
 	isAdopted   bool // it began beside another, and is now the one that the caller is served from; guarded by run.mu
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -22,9 +22,10 @@
 	DeathOf(upstream string, since time.Time) (time.Time, bool)
 	Completed(f crash.Fingerprint) (crash.Mark, bool)
 	Admit(suspects []crash.Fingerprint) crash.Admission
+	ReturnTrial(suspects []crash.Fingerprint)
 	IsWithheld(suspects []crash.Fingerprint) bool
 	Stamp() uint64
-	Answered(parts []crash.Fingerprint, begun uint64) []crash.Mark
+	Answered(parts []crash.Fingerprint, begun uint64, took time.Duration) []crash.Mark
 }
 
 // reconnectTimeout is how long an upstream whose connection broke may take to accept another before it counts as dead.
@@ -115,10 +116,7 @@
 // recordDeath marks the suspects of an attempt if an upstream that failed it accepts no connection any more. firstEventAt is when
 // the first event arrived, or zero.
 func (r *run) recordDeath(a *attempt, u *fleet.Upstream, firstEventAt time.Time) {
-	suspects, symptom := r.suspectsOfBreak(firstEventAt)
-	if len(suspects) == 0 {
-		return
-	}
+	symptom := crash.SymptomOf(false, !firstEventAt.IsZero())
 	diedAt := time.Now()
 	if u != a.reservation.Upstream { // a dead stage is noticed late, and by requests that were sent after its death
 		if at, ok := r.executor.crashes.DeathOf(u.ID, time.UnixMilli(u.Incarnation)); ok {
@@ -134,7 +132,7 @@
 		return
 	}
 	marked := 0
-	for _, f := range suspects {
+	for _, f := range r.suspects {
 		m, ok := r.executor.crashes.RecordDeathAt(f, u.ID, u.DataCentre, symptom, diedAt)
 		if ok {
 			marked++
@@ -145,48 +143,21 @@
 		"parts", r.request.describeParts(), "upstream", u.ID, "stage", stageNumber(a.reservation, u), "symptom", symptom.String(), "marked", marked)
 }
 
-const (
-	// maxCrashDelay is how long after the first event of an answer its upstream may crash of a part of the prompt.
-	maxCrashDelay = time.Second
-	// acquitDelay is for how long an upstream must have written an answer for it to speak for the parts before its end.
-	acquitDelay = 2 * maxCrashDelay
-)
-
 // stageNumber returns the place of an upstream in the path of a reservation, from 0 on.
 func stageNumber(res *board.Reservation, u *fleet.Upstream) int {
 	return max(0, slices.IndexFunc(res.Hops(), func(h board.Hop) bool { return h.Upstream == u }))
 }
 
-// suspectsOfBreak returns what may have crashed an upstream, and the symptom, by when the first event arrived. An answer that
-// had begun leaves only the parts of its prompt, and only for a moment.
-func (r *run) suspectsOfBreak(firstEventAt time.Time) ([]crash.Fingerprint, crash.Symptom) {
-	switch {
-	case firstEventAt.IsZero():
-		return r.suspects, crash.BrokeBeforeFirstToken
-	case time.Since(firstEventAt) < maxCrashDelay:
-		return r.suspects[:len(r.suspects)-1], crash.BrokeAfterTokens
-	}
-	return nil, 0
-}
-
 // clearSuspicion clears the suspicion of a request that was answered, and of its parts if an upstream wrote the answer
 // to its end.
 func (r *run) clearSuspicion(a *attempt) {
 	if m, ok := r.executor.crashes.Completed(r.fingerprint); ok {
 		r.executor.broadcast(m)
 	}
-	if a.wroteAnswer {
-		r.acquitParts(a)
-	}
-}
-
-// acquitParts clears the suspicion of the parts of the prompt, once for an attempt.
-func (r *run) acquitParts(a *attempt) {
-	if a.hasAcquitted || len(r.request.PromptParts) == 0 {
+	if !a.wroteAnswer || a.isResumed || r.request.LastEventID != "" { // an attempt that wrote the end alone shows little
 		return
 	}
-	a.hasAcquitted = true
-	for _, m := range r.executor.crashes.Answered(r.suspects[:len(r.suspects)-1], a.begunStamp) {
+	for _, m := range r.executor.crashes.Answered(r.suspects[:len(r.suspects)-1], a.begunStamp, time.Since(a.startedAt)) {
 		r.executor.broadcast(m)
 	}
 }
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -231,17 +231,20 @@
 	defer func() { r.executor.meter.Observe("wait-for-room-us", time.Since(began)) }()
 	until := time.NewTimer(maxCapacityWait)
 	defer until.Stop()
-	admission := crash.Withheld
 	for {
 		freed := r.executor.board.CapacityFreed()
-		if admission != crash.OnTrial {
-			admission = r.executor.crashes.Admit(r.suspects)
+		admission := r.executor.crashes.Admit(r.suspects)
+		if admission != crash.Withheld {
+			if res := r.tryReserve(r.excluded()); res != nil {
+				return res, nil
+			}
 		}
 		var release <-chan time.Time // when to ask again whether the request is withheld; nil if it is not
-		if admission == crash.Withheld {
+		if admission != crash.Admitted {
 			release = time.After(withheldPoll)
-		} else if res := r.tryReserve(r.excluded()); res != nil {
-			return res, nil
+		}
+		if admission == crash.OnTrial {
+			r.executor.crashes.ReturnTrial(r.suspects)
 		}
 		if wait := r.restWait(); wait > maxCapacityWait {
 			return nil, r.restRefusal(wait)
@@ -250,7 +253,7 @@
 		case <-freed:
 		case <-release:
 		case <-until.C:
-			if admission == crash.Withheld {
+			if admission != crash.Admitted {
 				return nil, r.withheldRefusal()
 			}
 			r.logShortage(time.Since(began))
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"time"
 
 	"rhubarbspread/core/reply"
 )
@@ -34,9 +33,6 @@
 		}
 		r.recordEvent(e)
 		w.written()
-		if !a.hasAcquitted && time.Since(a.firstEventAt) >= acquitDelay {
-			r.acquitParts(a)
-		}
 	}
 	if errors.Is(err, io.EOF) {
 		return r.complete(a)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -141,12 +141,12 @@
 		grant.Done(limit.Stopped, 0)
 		return false, err
 	}
-	before, begun := len(rs.answer.texts), rs.relay.crashes.Stamp()
+	before, begun, startedAt := len(rs.answer.texts), rs.relay.crashes.Stamp(), time.Now()
 	outcome, result := rs.generate(ctx, grant)
 	grant.Done(result, len(rs.answer.texts)-before)
 	rs.summary.Add(outcome)
 	if _, ok := outcome.(reply.Done); ok {
-		rs.clearSuspicion(begun)
+		rs.clearSuspicion(begun, time.Since(startedAt))
 		return true, nil
 	}
 	return false, rs.afterFailure(ctx, &failure{
@@ -159,10 +159,10 @@
 }
 
 // clearSuspicion clears the suspicion of a request that was answered, and that of its messages, by an answer that began at a
-// stamp.
-func (rs *requestState) clearSuspicion(begun uint64) {
+// stamp and took a time.
+func (rs *requestState) clearSuspicion(begun uint64, took time.Duration) {
 	suspects := rs.request.suspects()
-	marks := rs.relay.crashes.Answered(suspects[:len(suspects)-1], begun)
+	marks := rs.relay.crashes.Answered(suspects[:len(suspects)-1], begun, took)
 	if m, ok := rs.relay.crashes.Completed(rs.request.fingerprint); ok {
 		marks = append(marks, m)
 	}
