Measure turns by outcomes, and tell parts by whether they share requests

Callers of sound parts were refused for ten minutes beside a crashing part of far more requests, which was not taken for a rival since it was broader; nodes without an answer yet tried a part again before the outcome of its last trial was known. Now the time that requests had run when upstreams died counts as well, and a broader part is a rival unless the two are in the same requests. A condemned part excuses others only where it was at far more deaths: one that was condemned wrongly set the crashing one free.

Plays go on until requests are left to count, as checkSound failed with "0 of 0" where the fifth crash came late.

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -34,10 +34,10 @@
 	defer r.mu.Unlock()
 	switch {
 	case len(parts) == 0: // of another kind, which may be far quicker
-	case r.meanAnswerTime == 0:
-		r.meanAnswerTime = took
+	case r.outcomeTime == 0:
+		r.outcomeTime = took
 	default:
-		r.meanAnswerTime += (took - r.meanAnswerTime) / answerTimeDecay
+		r.outcomeTime += (took - r.outcomeTime) / answerTimeDecay
 	}
 	r.noteAnswer(parts, begun)
 	var marks []Mark
--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -72,11 +72,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				stamp := uint64(0)
 				r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
-				for f, n := range tc.uses {
-					for range n {
-						r.RecordUse(f)
-					}
-				}
+				useTogether(r, tc.uses)
 				for _, s := range tc.steps {
 					play(r, s)
 				}
@@ -95,6 +91,45 @@
 	}
 }
 
+// TestDeathsOfTwoPartsInNoCommonRequestBlameNeither guards against the quarantine of a sound part that is in far fewer requests than
+// a crashing one, and in none of them.
+func TestDeathsOfTwoPartsInNoCommonRequestBlameNeither(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		p, q := part("p"), part("q")
+		for i := range 40 {
+			r.RecordUse([]crash.Fingerprint{p})
+			if i%4 == 0 {
+				r.RecordUse([]crash.Fingerprint{q})
+			}
+		}
+		play(r, partStep{time.Second, "u", []crash.Fingerprint{p, q}, 4})
+		time.Sleep(time.Second)
+		for _, f := range []crash.Fingerprint{p, q} {
+			if _, ok := r.Verdict(f).(crash.Quarantined); ok {
+				t.Errorf("%v is in quarantine", f)
+			}
+		}
+	})
+}
+
+// useTogether records requests in each of which all parts are that have not had their number of requests yet.
+func useTogether(r *crash.Registry, uses map[crash.Fingerprint]int) {
+	for i := 0; ; i++ {
+		var parts []crash.Fingerprint
+		for f, n := range uses {
+			if i < n {
+				parts = append(parts, f)
+			}
+		}
+		if len(parts) == 0 {
+			return
+		}
+		r.RecordUse(parts)
+	}
+}
+
 // play applies one step.
 func play(r *crash.Registry, s partStep) {
 	for i := range max(1, s.times) {
@@ -222,7 +257,7 @@
 		suspects := 0
 		for i := range many {
 			f := part(fmt.Sprint(i))
-			r.RecordUse(f)
+			r.RecordUse([]crash.Fingerprint{f})
 			r.RecordDeath(f, fmt.Sprint("u", i), fmt.Sprint("dc", i), crash.BrokeBeforeFirstToken)
 		}
 		for i := range many {
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -121,8 +121,8 @@
 // rivalMargin is the number of deaths by which a part must exceed others of about as many requests to be told from them.
 const rivalMargin = 2
 
-// rivalOf returns another part of about as many requests that was at almost all deaths of a part, so that these don't tell
-// which of the two is the cause, or "" if there is none.
+// rivalOf returns another part that was at almost all deaths of a part, so that these don't tell which of the two is the cause, or ""
+// if there is none.
 func (r *Registry) rivalOf(f Fingerprint, rec *record, now time.Time) Fingerprint {
 	if !f.IsPart() {
 		return ""
@@ -136,13 +136,19 @@
 		}
 	}
 	for g, deaths := range shared {
-		if deaths > len(rec.deaths)-rivalMargin && !r.isNarrower(g, f) && !r.isNarrower(f, g) && !r.isTrusted(g, now) {
+		if deaths > len(rec.deaths)-rivalMargin && r.isRival(g, f) && !r.isTrusted(g, now) {
 			return g
 		}
 	}
 	return ""
 }
 
+// isRival reports whether a part is as likely the cause of the same deaths as another: one of about as many requests, or of more that
+// lack the other. One of more requests that are partly the same is at these deaths because of the other.
+func (r *Registry) isRival(g, f Fingerprint) bool {
+	return !r.isNarrower(g, f) && (!r.isNarrower(f, g) || !r.usage.areTogether(f, g))
+}
+
 // openLogInterval is the least time between two log lines on why a part with enough deaths is not in quarantine.
 const openLogInterval = time.Second
 
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -89,11 +89,12 @@
 	seenSweptAt time.Time
 	usage       usage
 	open        openParts
-	// meanAnswerTime is how long this node's latest complete answers took.
-	meanAnswerTime time.Duration
-	index          int // of this node among those that share the trials
-	nodes          int // that share them
-	log            logr.Logger
+	// outcomeTime is how long it takes to see that a request does not crash its upstream, or does: the mean time of this node's
+	// latest complete answers with parts, and no less than the time after which upstreams died since.
+	outcomeTime time.Duration
+	index       int // of this node among those that share the trials
+	nodes       int // that share them
+	log         logr.Logger
 }
 
 // deathID identifies the death of an upstream that ran a request.
@@ -211,6 +212,13 @@
 	return out
 }
 
+// RecordRunTime records how long a request with parts had run when its upstream died.
+func (r *Registry) RecordRunTime(ran time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomeTime = max(r.outcomeTime, ran)
+}
+
 // Begin records that a request runs at an upstream. The channel closes when another upstream dies while it runs an
 // identical request.
 func (r *Registry) Begin(f Fingerprint, upstream string) <-chan struct{} {
@@ -253,11 +261,11 @@
 	}
 }
 
-// RecordUse counts a request with a part.
-func (r *Registry) RecordUse(part Fingerprint) {
+// RecordUse counts a request with some parts.
+func (r *Registry) RecordUse(parts []Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.usage.use(part, r.now()).requests++
+	r.usage.record(parts, r.now())
 }
 
 // Evidence returns the marks of the requests in quarantine, for nodes that may lack them.
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -1,7 +1,6 @@
 package crash
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -92,7 +91,7 @@
 	var times []time.Time
 	for _, d := range rec.deaths {
 		m := d.marks[f]
-		isAfterAnswer := rec.answeredStamp > 0 && m.Stamp > rec.answeredStamp && now.After(settled[0].Add(turnTime+r.meanAnswerTime))
+		isAfterAnswer := rec.answeredStamp > 0 && m.Stamp > rec.answeredStamp && now.After(settled[0].Add(turnTime+r.outcomeTime))
 		isAfterOpen := m.at.After(openAt.Add(trialGrace)) && isAfterPause(settled, m.at)
 		if now.Sub(m.at) >= r.settleTime && (isAfterAnswer || isAfterOpen) && !r.isAmongOthers(f, d) {
 			telling, times = append(telling, d), append(times, m.at)
@@ -104,7 +103,7 @@
 		required--
 	}
 	mostDeaths := r.companionDeaths(f, telling)
-	if mostDeaths == len(rec.deaths) {
+	if mostDeaths > len(rec.deaths)-rivalMargin {
 		required += companionMoments
 	}
 	result.hasTurned = countMoments(times, turnInterval) >= required && countMoments(settled, turnInterval) >= turnMoments &&
@@ -122,10 +121,10 @@
 	})
 }
 
-// isCondemnedFor reports whether another part is in quarantine that was at a death of a part, and at more of them.
+// isCondemnedFor reports whether another part is in quarantine that was at a death of a part, and at far more.
 func (r *Registry) isCondemnedFor(f Fingerprint, rec *record, d *death, now time.Time) bool {
 	for g := range d.marks {
-		if other := r.records[g]; g != f && g.IsPart() && other.quarantineEnd.After(now) && len(other.deaths) > len(rec.deaths) {
+		if other := r.records[g]; g != f && g.IsPart() && other.quarantineEnd.After(now) && len(other.deaths) > len(rec.deaths)+rivalMargin {
 			return true
 		}
 	}
@@ -216,8 +215,6 @@
 	if !r.takeTurn(broadest, rec, now) {
 		return Withheld
 	}
-	r.log.Info("part-trial", "fingerprint", string(broadest), "withheld-parts", len(held), "deaths", len(rec.deaths),
-		"nodes", r.nodes)
 	return OnTrial
 }
 
@@ -240,7 +237,7 @@
 	}
 	width := r.nodes
 	if expected := r.usage.rate(f, now) * window.Seconds(); expected*float64(r.nodes) > trialsPerTurn {
-		width = int(math.Ceil(trialsPerTurn / expected))
+		width = max(1, int(trialsPerTurn/expected))
 	}
 	first := int(f.Key()%uint64(r.nodes)) + number*width
 	if !rec.trialAt.Before(begin) || (r.index-first%r.nodes+r.nodes)%r.nodes >= width {
@@ -254,7 +251,7 @@
 // answer, so that nodes whose answers take about as long agree.
 func (r *Registry) turnLength(parts int) (length time.Duration, groups int) {
 	length, groups = noticeTime+r.settleTime, min(parts, maxPartGroups)
-	for length < r.meanAnswerTime {
+	for length < r.outcomeTime {
 		length *= 2
 		groups /= 2
 	}
--- a/core/crash/usage.go
+++ b/core/crash/usage.go
@@ -1,17 +1,22 @@
 package crash
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Bounds of the record of parts in use.
 const (
-	usagePeriod  = 30 * time.Second // a part is forgotten after one to two periods without use
-	maxUsedParts = 4096             // in one period; the IDs of parts come from callers
+	usagePeriod   = 30 * time.Second // a part is forgotten after one to two periods without use
+	maxUsedParts  = 4096             // in one period; the IDs of parts come from callers
+	maxCompanions = maxSuspectParts  // of one part that are remembered
 )
 
 // partUse is how one part was used of late.
 type partUse struct {
-	requests int
-	soundEnd clearance // latest complete answer to a request with the part; zero if there was none
+	requests   int
+	soundEnd   clearance     // latest complete answer to a request with the part; zero if there was none
+	companions []Fingerprint // other parts of its requests, the first ones
 }
 
 // usage counts the latest requests with each part on this node, in two periods of which the older is dropped.
@@ -56,3 +61,21 @@
 	}
 	return partUse{}
 }
+
+// record counts a request with some parts.
+func (u *usage) record(parts []Fingerprint, now time.Time) {
+	for _, f := range parts {
+		p := u.use(f, now)
+		p.requests++
+		for _, g := range parts {
+			if g != f && len(p.companions) < maxCompanions && !slices.Contains(p.companions, g) {
+				p.companions = append(p.companions, g)
+			}
+		}
+	}
+}
+
+// areTogether reports whether requests are known that have both of two parts.
+func (u *usage) areTogether(f, g Fingerprint) bool {
+	return slices.Contains(u.get(f).companions, g) || slices.Contains(u.get(g).companions, f)
+}
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -16,12 +16,13 @@
 
 // Crashes is the registry of requests, and of parts of prompts, that are suspected of crashing upstreams.
 type Crashes interface {
-	RecordUse(part crash.Fingerprint)
+	RecordUse(parts []crash.Fingerprint)
 	Verdict(f crash.Fingerprint) crash.Verdict
 	RecordDeathAt(f crash.Fingerprint, upstream, dataCentre string, symptom crash.Symptom, at time.Time) (crash.Mark, bool)
 	DeathOf(upstream string, since time.Time) (time.Time, bool)
 	Completed(f crash.Fingerprint) (crash.Mark, bool)
 	Admit(suspects []crash.Fingerprint) crash.Admission
+	RecordRunTime(ran time.Duration)
 	ReturnTrial(suspects []crash.Fingerprint)
 	IsWithheld(suspects []crash.Fingerprint) bool
 	Stamp() uint64
@@ -131,6 +132,9 @@
 	if err := r.executor.transport.Probe(ctx, u); err == nil || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	if len(r.suspects) > 1 {
+		r.executor.crashes.RecordRunTime(diedAt.Sub(a.startedAt))
+	}
 	marked := 0
 	for _, f := range r.suspects {
 		m, ok := r.executor.crashes.RecordDeathAt(f, u.ID, u.DataCentre, symptom, diedAt)
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -128,9 +128,7 @@
 	r := &run{executor: e, request: q, sink: sink, lastEventID: noID, lastEventText: q.LastEventID,
 		started: time.Now(), suspects: q.suspects()}
 	r.fingerprint = r.suspects[len(r.suspects)-1]
-	for _, part := range r.suspects[:len(r.suspects)-1] {
-		e.crashes.RecordUse(part)
-	}
+	e.crashes.RecordUse(r.suspects[:len(r.suspects)-1])
 	e.budget.RecordFirstAttempt(q.Service.Name)
 	ctx, cancel := context.WithDeadline(ctx, q.ExpiresAt)
 	defer cancel()
@@ -236,6 +234,9 @@
 		admission := r.executor.crashes.Admit(r.suspects)
 		if admission != crash.Withheld {
 			if res := r.tryReserve(r.excluded()); res != nil {
+				if admission == crash.OnTrial {
+					r.executor.log.Info("part-trial", "request", r.request.ID, "parts", r.request.describeParts(), "upstream", res.Upstream.ID)
+				}
 				return res, nil
 			}
 		}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -103,9 +103,7 @@
 func (r *Relay) Run(ctx context.Context, pool *limit.Pool, q *Request, sink Sink) (*Answer, error) {
 	rs := &requestState{relay: r, pool: pool, request: q, sink: sink, lastTokenAt: time.Now()}
 	r.budget.RecordFirstAttempt(q.team, q.model)
-	for _, part := range q.parts {
-		r.crashes.RecordUse(part)
-	}
+	r.crashes.RecordUse(q.parts)
 	for {
 		done, err := rs.attempt(ctx)
 		if err != nil {
@@ -146,9 +144,12 @@
 	grant.Done(result, len(rs.answer.texts)-before)
 	rs.summary.Add(outcome)
 	if _, ok := outcome.(reply.Done); ok {
-		rs.clearSuspicion(begun, time.Since(startedAt))
+		rs.clearSuspicion(before == 0, begun, time.Since(startedAt))
 		return true, nil
 	}
+	if result == limit.Lost && len(rs.request.parts) > 0 {
+		rs.relay.crashes.RecordRunTime(time.Since(startedAt))
+	}
 	return false, rs.afterFailure(ctx, &failure{
 		upstream:   grant.Upstream(),
 		outcome:    outcome,
@@ -158,11 +159,13 @@
 	})
 }
 
-// clearSuspicion clears the suspicion of a request that was answered, and that of its messages, by an answer that began at a
-// stamp and took a time.
-func (rs *requestState) clearSuspicion(begun uint64, took time.Duration) {
-	suspects := rs.request.suspects()
-	marks := rs.relay.crashes.Answered(suspects[:len(suspects)-1], begun, took)
+// clearSuspicion clears the suspicion of a request that was answered, and, unless another upstream had written the begin, that of its
+// messages, by an answer that began at a stamp and took a time.
+func (rs *requestState) clearSuspicion(isWhole bool, begun uint64, took time.Duration) {
+	var marks []crash.Mark
+	if isWhole {
+		marks = rs.relay.crashes.Answered(rs.request.parts, begun, took)
+	}
 	if m, ok := rs.relay.crashes.Completed(rs.request.fingerprint); ok {
 		marks = append(marks, m)
 	}
--- a/core/relay/suspect.go
+++ b/core/relay/suspect.go
@@ -52,7 +52,11 @@
 // withheldRefusal returns a refusal if parts of the prompt are withheld, as upstreams died of requests with them and it is not known
 // yet whether they were the cause, or nil if there are none or the request may run on trial.
 func (rs *requestState) withheldRefusal() error {
-	if rs.relay.crashes.Admit(rs.request.suspects()) != crash.Withheld {
+	switch rs.relay.crashes.Admit(rs.request.suspects()) {
+	case crash.OnTrial:
+		rs.relay.note(rs, "part-trial", "", "", "")
+		return nil
+	case crash.Admitted:
 		return nil
 	}
 	return reply.NewRefusal(http.StatusServiceUnavailable, "withheld",
--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -189,13 +189,30 @@
 // opens a bound.
 func (f *crasherFleet) checkSound() {
 	f.t.Helper()
-	var from time.Time
+	f.checkServed(f.boundOpenedAt().Add(2 * settleTime))
+}
+
+// runOn goes on with a traffic until enough time has passed since the last crash that opens a bound for checkSound to count
+// requests, or for so long that there will be none.
+func (f *crasherFleet) runOn(traffic *partTraffic) {
+	const step, longest = time.Second, 20 * time.Second
+	for range int(longest / step) {
+		if time.Since(f.boundOpenedAt()) > 2*settleTime+4*step {
+			return
+		}
+		f.run(step, func(time.Duration) { traffic.tick() })
+	}
+}
+
+// boundOpenedAt returns the time of the last crash that opens a bound.
+func (f *crasherFleet) boundOpenedAt() time.Time {
+	var at time.Time
 	for cause, crashes := range f.crashes {
-		if bound := boundAfter(cause); len(crashes) >= bound && crashes[bound-1].After(from) {
-			from = crashes[bound-1]
+		if bound := boundAfter(cause); len(crashes) >= bound && crashes[bound-1].After(at) {
+			at = crashes[bound-1]
 		}
 	}
-	f.checkServed(from.Add(2 * settleTime))
+	return at
 }
 
 // checkServed fails if less than half of the sound requests from a time on are served.
--- a/io/mesh/outage_test.go
+++ b/io/mesh/outage_test.go
@@ -84,6 +84,7 @@
 				}
 				traffic.tick()
 			})
+			f.runOn(traffic)
 			for _, check := range checks {
 				check(f)
 			}
@@ -218,26 +219,53 @@
 	}
 }
 
-// TestPartThatCrashesInTheMiddleOfAnswersIsRefused guards against a part that is sent on because the upstreams which it crashes
-// have been writing its answers for some time.
-func TestPartThatCrashesInTheMiddleOfAnswersIsRefused(t *testing.T) {
+// crashesAmidAnswers returns cases of one part whose requests crash upstreams some time after they have begun to answer, and of one
+// that does at once, on uneven stages or in prompts of two parts.
+func crashesAmidAnswers() []outageCase {
 	const long, sound = 4 * time.Second, 6 * time.Second
-	var cases []outageCase
+	cases := []outageCase{
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isUneven: true, reload: 6 * time.Second},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isUneven: true, reload: 6 * time.Second, isShort: true},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isShort: true},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, crashes: 1, sound: sound, after: 400 * time.Millisecond},
+	}
 	for _, after := range []time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
 		for _, perSecond := range []float64{1, 4, 13, 30} {
 			cases = append(cases, outageCase{nodes: 9, upstreams: 8, stages: 2, perSecond: perSecond, answer: long, sound: sound, after: after},
 				outageCase{nodes: 9, upstreams: 8, stages: 3, perSecond: perSecond, answer: long, after: after, isShort: true})
 		}
 	}
-	for _, c := range append(cases, []outageCase{
-		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isUneven: true, reload: 6 * time.Second},
-		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isUneven: true, reload: 6 * time.Second, isShort: true},
-		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, isShort: true},
-		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 3, isShort: true},
+	return cases
+}
+
+// TestPartThatCrashesInTheMiddleOfAnswersIsRefused guards against a part that is sent on because the upstreams which it crashes
+// have been writing its answers for some time.
+func TestPartThatCrashesInTheMiddleOfAnswersIsRefused(t *testing.T) {
+	for _, c := range crashesAmidAnswers() {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkSends)
+		}
+	}
+}
+
+// TestPartThatCrashesInTheMiddleOfAnswersHarmsNoOther guards against sound parts and callers that pay for such a part.
+func TestPartThatCrashesInTheMiddleOfAnswersHarmsNoOther(t *testing.T) {
+	for _, c := range crashesAmidAnswers() {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
+		}
+	}
+}
+
+// TestSeveralCrashingPartsAreRefused guards against parts that are sent on, or sound ones that are blamed, because several parts crash
+// upstreams at the same time.
+func TestSeveralCrashingPartsAreRefused(t *testing.T) {
+	const long, sound = 4 * time.Second, 6 * time.Second
+	for _, c := range []outageCase{
 		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 2},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 3, isShort: true},
 		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, parts: 3, isShort: true, sound: sound},
-		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: long, crashes: 1, sound: sound, after: 400 * time.Millisecond},
-	}...) {
+	} {
 		for seed := range *outageSeeds {
 			playOutage(t, c, seed, (*crasherFleet).checkSends, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
 		}
--- a/io/mesh/part_test.go
+++ b/io/mesh/part_test.go
@@ -258,6 +258,7 @@
 						}
 						traffic.tick()
 					})
+					f.runOn(traffic)
 					check(f)
 				})
 			})
