Report a node ready only once it has read the list of VMs

A caller that came before the first list of VMs was applied got 503 'no upstream fit for work'. Change: Ready also asks for the list; requests before it are refused as not-ready. The status shows the document's digest as before. Result: TestNodeIsNotReadyBeforeItHasReadTheListOfVMs failed before and passes.

--- a/core/kern/control.go
+++ b/core/kern/control.go
@@ -40,6 +40,7 @@
 	keyring  *conf.Keyring
 	vms      map[string]*vm  // by name, without those that run nodes
 	drains   map[string]bool // ordered drains by VM
+	hasList  bool            // the list of VMs was read
 	nodes    []string
 	pools    map[string]*limit.Pool   // by model or service
 	stages   map[string]*chain.Stages // by model
@@ -125,6 +126,7 @@
 		c.document = update.Document
 		c.keyring = conf.NewKeyring(update.Document)
 	case VMListUpdate:
+		c.hasList = true
 		c.applyList(update.VMs)
 	case NodesUpdate:
 		c.applyNodes(update.Names)
@@ -230,7 +232,9 @@
 
 // publish builds a View from the control state and publishes it.
 func (c *Control) publish() {
-	view := &View{version: c.version, document: c.document, nodes: c.nodes, draining: make(map[string]bool)}
+	view := &View{
+		version: c.version, document: c.document, hasList: c.hasList, nodes: c.nodes, draining: make(map[string]bool),
+	}
 	for _, v := range c.vms {
 		view.upstreams = append(view.upstreams, v.upstream)
 		if v.listLeaving || v.reportedLeaving || c.drains[v.upstream.Name()] {
--- a/core/kern/control_test.go
+++ b/core/kern/control_test.go
@@ -71,6 +71,26 @@
 	})
 }
 
+func TestNodeIsNotReadyBeforeItHasReadTheListOfVMs(t *testing.T) {
+	document, list := kern.DocumentUpdate{Version: 1, Document: documentOf(t, 1, 1)}, kern.VMListUpdate{VMs: vmsOf(1, 1)}
+	for _, updates := range [][]kern.Update{{document, list}, {list, document}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			c := kern.NewControl("n", "dc", policy(t))
+			ended := c.Run(ctx)
+			for i, u := range updates {
+				_ = c.Send(ctx, u)
+				synctest.Wait()
+				if got, want := c.View().Ready(), i == len(updates)-1; got != want {
+					t.Errorf("ready after %T as update %d: %v, want %v", u, i, got, want)
+				}
+			}
+			cancel()
+			<-ended
+		})
+	}
+}
+
 // TestUnlistedUpstreamStaysWhileItReports empties the list while one of two upstreams keeps reporting: that one must
 // stay.
 func TestUnlistedUpstreamStaysWhileItReports(t *testing.T) {
--- a/core/kern/view.go
+++ b/core/kern/view.go
@@ -12,6 +12,7 @@
 	version   uint64
 	document  *conf.Document
 	keyring   *conf.Keyring
+	hasList   bool
 	upstreams []*route.Upstream
 	draining  map[string]bool // by upstream
 	nodes     []string
@@ -19,8 +20,8 @@
 	stages    map[string]*chain.Stages // by model
 }
 
-// Ready reports whether a document is in force.
-func (v *View) Ready() bool { return v.document != nil }
+// Ready reports whether a document is in force and the list of VMs was read, without which no upstream is known.
+func (v *View) Ready() bool { return v.document != nil && v.hasList }
 
 // Version returns the version of the document in force.
 func (v *View) Version() uint64 { return v.version }
--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -73,8 +73,8 @@
 		Version: v.Version(), Ready: v.Ready(), InFlight: n.callers.InFlight(),
 		Unrecorded: n.ledger.Unrecorded(), Nodes: len(n.swim.Alive()), Upstreams: len(v.Upstreams()),
 	}
-	if v.Ready() {
-		s.Digest = v.Document().Digest()
+	if d := v.Document(); d != nil {
+		s.Digest = d.Digest()
 	}
 	serve.JSON(w, s)
 }
--- a/io/serve/callers.go
+++ b/io/serve/callers.go
@@ -145,7 +145,7 @@
 	c.requests.add()
 	v := c.view()
 	if !v.Ready() {
-		return nil, nil, reply.NewRefusal(http.StatusServiceUnavailable, "not-ready", "the node has no document yet",
+		return nil, nil, reply.NewRefusal(http.StatusServiceUnavailable, "not-ready", "the node has no document or no list of VMs yet",
 			reply.WithRetryAfter(notReadyRetryAfter))
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
