Say in a mark for how long the request had run when its upstream died

Cause: nodes told the outcome of a trial from a death that came later than the part was withheld, but a request sent before may die as late as an answer takes. Change: a mark carries the time that the request had run, in a field that older builds skip; of several requests with a part the one that was sent last counts. Nothing reads it yet. Result: TestMarksReachAll checks that the time arrives at all of 40 nodes.

--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -8,14 +8,20 @@
 // RecordDeath marks a request, or a part of one, that ran on an upstream when the upstream died just now. It returns the mark to
 // send to the other nodes, and false if the death is part of a correlated failure.
 func (r *Registry) RecordDeath(f Fingerprint, upstream, dataCentre string, symptom Symptom) (Mark, bool) {
-	return r.RecordDeathAt(f, upstream, dataCentre, symptom, r.now())
+	now := r.now()
+	return r.RecordDeathAt(f, upstream, dataCentre, symptom, now, now)
 }
 
-// RecordDeathAt is RecordDeath for an upstream that died at an earlier time.
-func (r *Registry) RecordDeathAt(f Fingerprint, upstream, dataCentre string, symptom Symptom, at time.Time) (Mark, bool) {
+// RecordDeathAt is RecordDeath for a request that was sent at a time to an upstream that died at another.
+func (r *Registry) RecordDeathAt(
+	f Fingerprint, upstream, dataCentre string, symptom Symptom, begun, at time.Time,
+) (Mark, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := Mark{Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp(), Symptom: symptom, Age: r.now().Sub(at)}
+	m := Mark{
+		Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp(), Symptom: symptom, Age: r.now().Sub(at),
+		Ran: max(0, at.Sub(begun)),
+	}
 	return m, r.mark(m, "own")
 }
 
@@ -88,8 +94,10 @@
 		rec = &record{}
 		r.records[m.Fingerprint] = rec
 	}
-	_, isKnown := d.marks[m.Fingerprint]
-	if !isKnown {
+	known, isKnown := d.marks[m.Fingerprint]
+	if isKnown {
+		m.Ran = min(m.Ran, known.Ran) // the request that was sent last tells the most
+	} else {
 		rec.deaths = append(rec.deaths, d)
 	}
 	d.marks[m.Fingerprint] = deathMark{m, at}
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -64,6 +64,9 @@
 	at time.Time
 }
 
+// begunAt returns when the request was sent, the last one if there were several.
+func (m deathMark) begunAt() time.Time { return m.at.Add(-m.Ran) }
+
 // runningRequest is a request that this node has in flight.
 type runningRequest struct {
 	upstream  string
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -139,6 +139,7 @@
 	Cleared     bool        `json:"cleared"` // an operator or a complete answer removed the suspicion
 
 	Age         time.Duration `json:"-"` // of the death or the clearance, when the mark was sent
+	Ran         time.Duration `json:"-"` // for how long the request had run at the death; 0 if that is not known
 	Quarantined bool          `json:"-"` // the sender has the request in quarantine
 	Prolonged   int           `json:"-"` // how often the sender's quarantine was prolonged
 }
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -18,7 +18,7 @@
 type Crashes interface {
 	RecordUse(parts []crash.Fingerprint)
 	Verdict(f crash.Fingerprint) crash.Verdict
-	RecordDeathAt(f crash.Fingerprint, upstream, dataCentre string, symptom crash.Symptom, at time.Time) (crash.Mark, bool)
+	RecordDeathAt(f crash.Fingerprint, upstream, dataCentre string, symptom crash.Symptom, begun, at time.Time) (crash.Mark, bool)
 	DeathOf(upstream string, since time.Time) (time.Time, bool)
 	Completed(f crash.Fingerprint) (crash.Mark, bool)
 	Admit(suspects []crash.Fingerprint) crash.Admission
@@ -137,7 +137,7 @@
 	}
 	marked := 0
 	for _, f := range r.suspects {
-		m, ok := r.executor.crashes.RecordDeathAt(f, u.ID, u.DataCentre, symptom, diedAt)
+		m, ok := r.executor.crashes.RecordDeathAt(f, u.ID, u.DataCentre, symptom, a.startedAt, diedAt)
 		if ok {
 			marked++
 		}
--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -128,7 +128,7 @@
 			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
 			Stamp: c.GetStamp(), Symptom: crash.Symptom(c.GetSign()), Cleared: c.GetCleared(),
 			Age: time.Duration(c.GetAgeMs()) * time.Millisecond, Quarantined: c.GetQuarantined(),
-			Prolonged: int(c.GetProlonged()),
+			Prolonged: int(c.GetProlonged()), Ran: time.Duration(c.GetRanMs()) * time.Millisecond,
 		})
 	}
 }
@@ -137,6 +137,6 @@
 	return &wire.Crash{
 		Fingerprint: string(mark.Fingerprint), Upstream: mark.Upstream, DataCentre: mark.DataCentre, Stamp: mark.Stamp,
 		Sign: uint32(mark.Symptom), Cleared: mark.Cleared, AgeMs: uint32(mark.Age.Milliseconds()),
-		Quarantined: mark.Quarantined, Prolonged: uint32(mark.Prolonged),
+		Quarantined: mark.Quarantined, Prolonged: uint32(mark.Prolonged), RanMs: uint32(mark.Ran.Milliseconds()),
 	}
 }
--- a/io/mesh/marks_test.go
+++ b/io/mesh/marks_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"rhubarbspread/core/crash"
 )
@@ -11,12 +12,13 @@
 func TestMarksReachAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 40, "a", "b", "c")
-		g.nodes[7].BroadcastMark(crash.Mark{Fingerprint: "f", Upstream: "u0", Stamp: 3})
+		const ran = 1500 * time.Millisecond
+		g.nodes[7].BroadcastMark(crash.Mark{Fingerprint: "f", Upstream: "u0", Stamp: 3, Ran: ran})
 		for i := range 6 {
 			g.deliver(uint32(i + 1))
 		}
 		for _, m := range g.nodes {
-			if m.config.Node != "node-7" && (len(m.receivedMarks) == 0 || m.receivedMarks[0].Fingerprint != "f") {
+			if m.config.Node != "node-7" && (len(m.receivedMarks) == 0 || m.receivedMarks[0].Fingerprint != "f" || m.receivedMarks[0].Ran != ran) {
 				t.Errorf("%s received the marks %v", m.config.Node, m.receivedMarks)
 			}
 		}
