Condemn a part by its number of deaths only where it stands out, and by trials that nothing else explains

Callers saw: with several crashing parts, or nodes that restart at the return of a service, all requests with a sound part were refused for ten minutes. Change: the number of deaths condemns a part only if no other that shares some was at about as many; a trusted one counts if it was at more; deaths beside a part in quarantine and parts of most requests don't count so. Trials are told by when the request was sent; those beside another suspect's request count less. TestPartThatRanBesideTwoCrashingOnesIsNotBlamed, TestDeathsUnderRequestsSentBeforeAPartWasWithheldDoNotCondemnIt and a new case of TestPartVerdict failed before. The case 'the one with more deaths' of TestPartVerdict now has requests without the parts: with none the part is in all requests, and condemning it by count is what the new case forbids.

--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -23,7 +23,7 @@
 // TestPartVerdict checks which suspects are in quarantine a second after the last step.
 func TestPartVerdict(t *testing.T) {
 	const second = time.Second
-	p, q, first := part("p"), part("q"), part("first")
+	p, q, first, other := part("p"), part("q"), part("first"), part("other")
 	tests := []struct {
 		name  string
 		uses  map[crash.Fingerprint]int // requests with a part, of late
@@ -51,12 +51,14 @@
 			{second, "u", []crash.Fingerprint{p, q}, 4}}, []crash.Fingerprint{q}},
 		{"of two parts with the same deaths and about as many requests, neither", map[crash.Fingerprint]int{p: 10, q: 9}, []partStep{
 			{second, "u", []crash.Fingerprint{p, q}, 4}}, nil},
-		{"of two parts of about as many requests, the one with more deaths", map[crash.Fingerprint]int{p: 10, q: 9}, []partStep{
+		{"of two parts of about as many requests, the one with more deaths", map[crash.Fingerprint]int{p: 10, q: 9, other: 40}, []partStep{
 			{second, "u", []crash.Fingerprint{p, q}, 4}, {second, "v", []crash.Fingerprint{p}, 2}}, []crash.Fingerprint{p}},
 		{"a part of most requests is not blamed though it was at more deaths",
 			map[crash.Fingerprint]int{first: 100, p: 10}, []partStep{
 				{second, "u", []crash.Fingerprint{first, p}, 4}, {second, "v", []crash.Fingerprint{first}, 2}},
 			[]crash.Fingerprint{p}},
+		{"a part of most requests is not blamed, as it is at all deaths", map[crash.Fingerprint]int{p: 10, q: 9}, []partStep{
+			{second, "u", []crash.Fingerprint{p, q}, 4}, {second, "v", []crash.Fingerprint{p}, 2}}, nil},
 		{"requests with a crashing part are not blamed for two deaths each", nil, []partStep{
 			{second, "u", []crash.Fingerprint{p, "r1"}, 2}, {second, "v", []crash.Fingerprint{p, "r2"}, 2},
 			{second, "w", []crash.Fingerprint{p}, 1}}, []crash.Fingerprint{p}},
@@ -114,6 +116,60 @@
 	})
 }
 
+// TestPartThatRanBesideTwoCrashingOnesIsNotBlamed guards against the quarantine of a sound part for the deaths of several others.
+func TestPartThatRanBesideTwoCrashingOnesIsNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stamp := uint64(0)
+		r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+		a, b, sound := part("a"), part("b"), part("sound")
+		for _, s := range []partStep{
+			{0, "u", []crash.Fingerprint{a, sound}, 3}, {0, "v", []crash.Fingerprint{b, sound}, 3},
+			{0, "w", []crash.Fingerprint{a}, 2}, {0, "x", []crash.Fingerprint{b}, 2},
+		} {
+			play(r, s)
+		}
+		time.Sleep(time.Second)
+		if _, ok := r.Verdict(sound).(crash.Quarantined); ok {
+			t.Error("the part is in quarantine")
+		}
+	})
+}
+
+// TestDeathsUnderRequestsSentBeforeAPartWasWithheldDoNotCondemnIt guards against deaths that are taken for the outcome of trials though
+// the requests had been sent before.
+func TestDeathsUnderRequestsSentBeforeAPartWasWithheldDoNotCondemnIt(t *testing.T) {
+	const interval, trialTime = 1500 * time.Millisecond, 200 * time.Millisecond
+	for _, tc := range []struct {
+		name    string
+		isTrial bool
+	}{{"sent before", false}, {"sent on trial", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stamp := uint64(0)
+				r := crash.NewRegistry(time.Now, func() uint64 { stamp++; return stamp }, time.Hour)
+				p, beside := part("p"), part("beside")
+				begun := time.Now()
+				play(r, partStep{0, "u", []crash.Fingerprint{p, beside}, 4})
+				time.Sleep(2 * interval)
+				for i := range 5 {
+					time.Sleep(interval)
+					sent := begun
+					if tc.isTrial {
+						sent = time.Now().Add(-trialTime)
+					}
+					upstream := fmt.Sprint("v", i)
+					r.RecordDeathAt(p, upstream, "dc", crash.BrokeAfterTokens, sent, time.Now())
+					r.RecordDeathAt(beside, upstream, "dc", crash.BrokeAfterTokens, begun, time.Now())
+				}
+				time.Sleep(time.Second)
+				if _, ok := r.Verdict(p).(crash.Quarantined); ok != tc.isTrial {
+					t.Errorf("in quarantine: %v, want %v", ok, tc.isTrial)
+				}
+			})
+		})
+	}
+}
+
 // useTogether records requests in each of which all parts are that have not had their number of requests yet.
 func useTogether(r *crash.Registry, uses map[crash.Fingerprint]int) {
 	for i := 0; ; i++ {
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -102,7 +102,7 @@
 	var times []time.Time // of the deaths that nothing else explains
 	for _, d := range rec.deaths {
 		m := d.marks[f]
-		if now.Sub(m.at) >= r.settleTime && !r.isCorrelatedFailure(f, d) && (hasTurned || !r.isExplained(f, rec, d)) {
+		if now.Sub(m.at) >= r.settleTime && !r.isCorrelatedFailure(f, d) && (hasTurned || !r.isExplained(f, rec, d) && !r.hasCondemned(f, d, now)) {
 			times = append(times, m.at)
 		}
 	}
@@ -110,7 +110,7 @@
 	if !hasTurned {
 		rival = r.rivalOf(f, rec, now)
 	}
-	if len(times) < required || isTrusted || rival != "" {
+	if len(times) < required || isTrusted || rival != "" || !hasTurned && r.usage.isCommon(f) {
 		r.logOpen(f, rec, len(times), isTrusted, rival)
 		return time.Time{}, false
 	}
@@ -118,35 +118,49 @@
 	return times[required-1].Add(r.settleTime), true
 }
 
+// hasCondemned reports whether an upstream ran another part at its death that is in quarantine. Such a death says little about
+// a part: only answers or trials tell.
+func (r *Registry) hasCondemned(f Fingerprint, d *death, now time.Time) bool {
+	if !f.IsPart() {
+		return false
+	}
+	for g := range d.marks {
+		if other := r.records[g]; g != f && g.IsPart() && other != nil && other.quarantineEnd.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // rivalMargin is the number of deaths by which a part must exceed others of about as many requests to be told from them.
 const rivalMargin = 2
 
-// rivalOf returns another part that was at almost all deaths of a part, so that these don't tell which of the two is the cause, or ""
-// if there is none.
+// rivalOf returns another part that shares deaths with a part and is as likely the cause of them, so that their number doesn't tell
+// which of the two it is, or "" if there is none.
 func (r *Registry) rivalOf(f Fingerprint, rec *record, now time.Time) Fingerprint {
 	if !f.IsPart() {
 		return ""
 	}
-	shared := make(map[Fingerprint]int)
 	for _, d := range rec.deaths {
 		for g := range d.marks {
-			if g != f && g.IsPart() {
-				shared[g]++
+			if g != f && g.IsPart() && r.isRival(g, f, rec, now) {
+				return g
 			}
 		}
 	}
-	for g, deaths := range shared {
-		if deaths > len(rec.deaths)-rivalMargin && r.isRival(g, f) && !r.isTrusted(g, now) {
-			return g
-		}
-	}
 	return ""
 }
 
-// isRival reports whether a part is as likely the cause of the same deaths as another: one of about as many requests, or of more that
-// lack the other. One of more requests that are partly the same is at these deaths because of the other.
-func (r *Registry) isRival(g, f Fingerprint) bool {
-	return !r.isNarrower(g, f) && (!r.isNarrower(f, g) || !r.usage.areTogether(f, g))
+// isRival reports whether a part is as likely the cause of the deaths of another.
+func (r *Registry) isRival(g, f Fingerprint, rec *record, now time.Time) bool {
+	deaths := len(r.records[g].deaths)
+	switch {
+	case r.isNarrower(f, g) && r.usage.areTogether(f, g):
+		return false // it is at these deaths because of the other
+	case r.isTrusted(g, now):
+		return deaths > len(rec.deaths)
+	}
+	return deaths > len(rec.deaths)-rivalMargin
 }
 
 // openLogInterval is the least time between two log lines on why a part with enough deaths is not in quarantine.
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -20,10 +20,13 @@
 	turnInterval = 400 * time.Millisecond
 	// momentWindow is the longest time between deaths that one event may have caused.
 	momentWindow = 250 * time.Millisecond
-	// companionMoments is how many more are required if another part was at as many deaths, and at all of these.
+	// companionMoments is how many more are required if another part was at as many deaths, and at all of these, or if other requests
+	// may have been the cause of each of them.
 	companionMoments = 2
-	// trialGrace is for how long after a part is withheld deaths may be due to requests sent before.
+	// trialGrace is for how long after a part is withheld nodes that don't know of it may send on.
 	trialGrace = 500 * time.Millisecond
+	// sameRequestWindow is the longest time between the begins that the marks of one request name, which are rounded.
+	sameRequestWindow = 5 * time.Millisecond
 	// trialPause is the time after a death under a withheld part until the next trial.
 	trialPause = time.Second
 	// noticeTime is how long a node takes to notice the death of an upstream that falls silent, such as a later stage of a path.
@@ -69,17 +72,11 @@
 
 // checkTurn decides a turn anew.
 func (r *Registry) checkTurn(f Fingerprint, rec *record, now time.Time) turn {
-	var settled []time.Time
-	for _, d := range rec.deaths {
-		if at := d.marks[f].at; now.Sub(at) >= r.settleTime && !r.isCondemnedFor(f, rec, d, now) {
-			settled = append(settled, at)
-		}
-	}
 	result := turn{checkedAt: now}
+	settled := r.settledDeaths(f, rec, now)
 	if len(settled) < openCrashes {
 		return result
 	}
-	slices.SortFunc(settled, time.Time.Compare)
 	openAt := settled[0].Add(turnTime)
 	if at := settled[openCrashes-1].Add(r.settleTime); at.After(openAt) {
 		openAt = at
@@ -87,37 +84,114 @@
 	if now.Before(openAt) {
 		return result
 	}
-	var telling []*death // that the state of the whole service does not excuse
-	var times []time.Time
+	t := r.tellingDeaths(f, rec, settled, openAt, now)
+	result.hasTurned = r.isTold(f, rec, t) && countMoments(settled, turnInterval) >= turnMoments
+	result.isOpen = !result.hasTurned
+	return result
+}
+
+// settledDeaths returns the times of the deaths under a part that have settled and that no other part is condemned for, in order.
+func (r *Registry) settledDeaths(f Fingerprint, rec *record, now time.Time) []time.Time {
+	var settled []time.Time
+	for _, d := range rec.deaths {
+		if at := d.marks[f].at; now.Sub(at) >= r.settleTime && !r.isCondemnedFor(f, rec, d, now) {
+			settled = append(settled, at)
+		}
+	}
+	slices.SortFunc(settled, time.Time.Compare)
+	return settled
+}
+
+// tellingDeaths are the deaths under a part that the state of the whole service does not excuse.
+type tellingDeaths struct {
+	deaths  []*death
+	moments int // in which they came
+	alone   int // of these, without another request that may have been the cause
+}
+
+// tellingDeaths returns the deaths under a part that came after requests without it were answered, or on trial after a time at which
+// it was withheld.
+func (r *Registry) tellingDeaths(f Fingerprint, rec *record, settled []time.Time, openAt, now time.Time) tellingDeaths {
+	var t tellingDeaths
+	var times, aloneTimes []time.Time
+	mayBeAnswered := now.After(settled[0].Add(turnTime + r.outcomeTime))
 	for _, d := range rec.deaths {
 		m := d.marks[f]
-		isAfterAnswer := rec.answeredStamp > 0 && m.Stamp > rec.answeredStamp && now.After(settled[0].Add(turnTime+r.outcomeTime))
-		isAfterOpen := m.at.After(openAt.Add(trialGrace)) && isAfterPause(settled, m.at)
-		if now.Sub(m.at) >= r.settleTime && (isAfterAnswer || isAfterOpen) && !r.isAmongOthers(f, d) {
-			telling, times = append(telling, d), append(times, m.at)
+		isTrial := m.begunAt().After(openAt.Add(trialGrace)) && isAfterPause(settled, m.begunAt())
+		isAfterAnswer := mayBeAnswered && rec.answeredStamp > 0 && m.Stamp > rec.answeredStamp
+		if now.Sub(m.at) < r.settleTime || !isTrial && !isAfterAnswer || r.isAmongOthers(f, d) {
+			continue
+		}
+		t.deaths, times = append(t.deaths, d), append(times, m.at)
+		othersSince := time.Time{}
+		if isTrial {
+			othersSince = openAt
+		}
+		if !r.hasOtherSuspect(f, d, othersSince, now) {
+			aloneTimes = append(aloneTimes, m.at)
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
+	slices.SortFunc(aloneTimes, time.Time.Compare)
+	t.moments, t.alone = countMoments(times, turnInterval), countMoments(aloneTimes, turnInterval)
+	return t
+}
+
+// isTold reports whether deaths tell that a part crashes upstreams.
+func (r *Registry) isTold(f Fingerprint, rec *record, t tellingDeaths) bool {
 	required := turnMoments
 	if rec.answeredStamp > 0 {
 		required--
 	}
-	mostDeaths := r.companionDeaths(f, telling)
+	mostDeaths := r.companionDeaths(f, t.deaths)
+	if mostDeaths > len(rec.deaths) {
+		return false
+	}
 	if mostDeaths > len(rec.deaths)-rivalMargin {
 		required += companionMoments
 	}
-	result.hasTurned = countMoments(times, turnInterval) >= required && countMoments(settled, turnInterval) >= turnMoments &&
-		mostDeaths <= len(rec.deaths)
-	result.isOpen = !result.hasTurned
-	return result
+	switch {
+	case t.alone >= required, t.moments >= required && r.standsOut(f, rec, t.deaths):
+		return true
+	case t.alone > 0:
+		return t.moments > required
+	}
+	return t.moments >= required+companionMoments
+}
+
+// hasOtherSuspect reports whether at a death of a part an upstream ran another request, one with a part that is in quarantine, or one
+// that was sent after a time and has a part that may be withheld.
+func (r *Registry) hasOtherSuspect(f Fingerprint, d *death, since, now time.Time) bool {
+	begun := d.marks[f].begunAt()
+	for g, m := range d.marks {
+		other := r.records[g]
+		if g == f || !g.IsPart() || other == nil || m.begunAt().Sub(begun).Abs() <= sameRequestWindow {
+			continue
+		}
+		if other.quarantineEnd.After(now) || len(other.deaths) >= openCrashes && m.begunAt().After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// standsOut reports whether a part was at more deaths than all others that were at some of these.
+func (r *Registry) standsOut(f Fingerprint, rec *record, deaths []*death) bool {
+	for _, d := range deaths {
+		for g := range d.marks {
+			if g != f && g.IsPart() && len(r.records[g].deaths) > len(rec.deaths)-rivalMargin {
+				return false
+			}
+		}
+	}
+	return true
 }
 
-// isAfterPause reports whether no death came in the time before one in which trials rest, so that it may be the outcome of a trial
-// and not of a request that was sent before.
-func isAfterPause(settled []time.Time, at time.Time) bool {
+// isAfterPause reports whether no death came in the time before a request was sent in which trials rest, so that it may be a trial.
+func isAfterPause(settled []time.Time, begun time.Time) bool {
 	return !slices.ContainsFunc(settled, func(other time.Time) bool {
-		before := at.Sub(other)
-		return before > momentWindow && before < trialPause
+		before := begun.Sub(other)
+		return before > 0 && before < trialPause
 	})
 }
 
--- a/core/crash/usage.go
+++ b/core/crash/usage.go
@@ -10,6 +10,7 @@
 	usagePeriod   = 30 * time.Second // a part is forgotten after one to two periods without use
 	maxUsedParts  = 4096             // in one period; the IDs of parts come from callers
 	maxCompanions = maxSuspectParts  // of one part that are remembered
+	commonShare   = 2                // the share of all requests, as a divisor, from which on a part is in most of them
 )
 
 // partUse is how one part was used of late.
@@ -23,12 +24,14 @@
 type usage struct {
 	current, previous map[Fingerprint]*partUse
 	startedAt         time.Time // of the current period
+	requests          int       // that had parts; those of earlier periods count by half
 }
 
 // use returns the entry of a part in the current period.
 func (u *usage) use(f Fingerprint, now time.Time) *partUse {
 	if u.current == nil || now.Sub(u.startedAt) > usagePeriod || len(u.current) >= maxUsedParts {
 		u.previous, u.current, u.startedAt = u.current, make(map[Fingerprint]*partUse), now
+		u.requests /= 2
 	}
 	p := u.current[f]
 	if p == nil {
@@ -73,6 +76,14 @@
 			}
 		}
 	}
+	if len(parts) > 0 {
+		u.requests++
+	}
+}
+
+// isCommon reports whether a part is in most requests, so that it is at most deaths whatever their cause.
+func (u *usage) isCommon(f Fingerprint) bool {
+	return u.requests >= comparableUses && commonShare*u.get(f).requests > u.requests
 }
 
 // areTogether reports whether requests are known that have both of two parts.
