Play parts that crash whole upstreams late, paths that load slowly, and a cut beside crashes amid answers

Cause: such cases had not been played; the stand-in for whole upstreams always crashed 20 ms after a request had arrived. No product code changes.

--- a/io/mesh/crasher_test.go
+++ b/io/mesh/crasher_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -63,6 +64,7 @@
 	turnAt     time.Time     // until which no part crashes upstreams
 	lateAfter  time.Duration // after which the bound on sends applies
 	answerTime time.Duration // of a request
+	crashAfter time.Duration // of upstreams that hold the whole model, from the arrival of a request on; by default earlyCrash
 	downTime   time.Duration // until a crashed upstream is back
 	paths      *pathLayout   // nil if each upstream holds the whole model
 }
@@ -264,8 +266,12 @@
 	crashed := v.fleet.beginAt(s.Upstream)
 	if cause := crashCause(s.Request); cause != "" && !time.Now().Before(v.fleet.turnAt) {
 		v.fleet.noteSend(cause, v)
-		time.Sleep(earlyCrash)
-		v.fleet.crash(cause, s.Upstream)
+		select {
+		case <-crashed:
+			return nil, proxy.NewSendError(true, errors.New("connection reset"))
+		case <-time.After(cmp.Or(v.fleet.crashAfter, earlyCrash)):
+			v.fleet.crash(cause, s.Upstream)
+		}
 	}
 	select {
 	case <-crashed:
--- a/io/mesh/outage_test.go
+++ b/io/mesh/outage_test.go
@@ -72,7 +72,7 @@
 				f.usePaths(c.upstreams, &pathLayout{stages: c.stages, crashStage: c.crashes, loadTime: cmp.Or(c.reload, reloadTime),
 					crashAfter: cmp.Or(c.after, earlyCrash), isUneven: c.isUneven})
 			} else {
-				f.upstreams = f.upstreams[:c.upstreams]
+				f.upstreams, f.crashAfter = f.upstreams[:c.upstreams], c.after
 			}
 			traffic := &partTraffic{fleet: f, perSecond: c.perSecond, isShort: c.isShort}
 			if c.perSecond > 0 {
@@ -261,6 +261,74 @@
 	}
 }
 
+// crashesOfWholeUpstreams returns cases of one part whose requests crash upstreams that hold the whole model before their answers begin,
+// some time after their arrival. All but one are only played with more than one seed.
+func crashesOfWholeUpstreams() []outageCase {
+	const long, sound = 3 * time.Second, 6 * time.Second
+	if *outageSeeds == 1 {
+		return []outageCase{{nodes: 9, upstreams: 20, perSecond: 8, answer: long, sound: sound, after: 1800 * time.Millisecond}}
+	}
+	var cases []outageCase
+	for _, upstreams := range []int{4, 8, 20} {
+		for _, perSecond := range []float64{1, 8, 30} {
+			for _, after := range []time.Duration{600 * time.Millisecond, 1800 * time.Millisecond} {
+				cases = append(cases, outageCase{nodes: 9, upstreams: upstreams, perSecond: perSecond, answer: long, sound: sound, after: after})
+			}
+		}
+	}
+	return cases
+}
+
+// TestPartThatCrashesWholeUpstreamsLateIsRefused guards against a part that is sent on because the upstreams which it crashes have
+// been running its requests for some time.
+func TestPartThatCrashesWholeUpstreamsLateIsRefused(t *testing.T) {
+	for _, c := range crashesOfWholeUpstreams() {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkSends)
+		}
+	}
+}
+
+// TestPartThatCrashesWholeUpstreamsLateHarmsNoOther guards against sound parts and callers that pay for such a part.
+func TestPartThatCrashesWholeUpstreamsLateHarmsNoOther(t *testing.T) {
+	for _, c := range crashesOfWholeUpstreams() {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
+		}
+	}
+}
+
+// TestPartThatCrashesPathsThatLoadSlowlyBlamesNoOther guards against sound parts that are blamed while all paths are down for long.
+func TestPartThatCrashesPathsThatLoadSlowlyBlamesNoOther(t *testing.T) {
+	const (
+		long, sound, downTime, loadTime = 5 * time.Second, 3 * time.Second, 4500 * time.Millisecond, 14 * time.Second
+		early, late                     = 1500 * time.Millisecond, 2500 * time.Millisecond
+	)
+	for _, c := range []outageCase{
+		{nodes: 9, upstreams: 5, stages: 9, perSecond: 4, answer: long, sound: sound, after: early, isShort: true, reload: loadTime, downTime: downTime},
+		{nodes: 24, upstreams: 6, stages: 6, perSecond: 4, answer: long, sound: sound, after: late, isShort: true, reload: loadTime, downTime: downTime},
+		{nodes: 48, upstreams: 6, stages: 4, perSecond: 4, answer: long, sound: sound, after: early, isShort: true, reload: loadTime, downTime: downTime},
+	} {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkParts)
+		}
+	}
+}
+
+// TestCrashesAmidAnswersBesideACutAreRefused guards against a part that is sent on, or sound ones that are blamed, because a data centre
+// is cut off after the first crashes.
+func TestCrashesAmidAnswersBesideACutAreRefused(t *testing.T) {
+	const sound, cutAt, after = 3 * time.Second, 6 * time.Second, 1500 * time.Millisecond
+	for _, c := range []outageCase{
+		{nodes: 9, upstreams: 8, perSecond: 8, answer: after, sound: sound, name: "a cut", disturb: cutFrom(cutAt)},
+		{nodes: 9, upstreams: 10, stages: 3, perSecond: 8, answer: 4 * time.Second, sound: sound, after: after, isShort: true, name: "a cut", disturb: cutFrom(cutAt)},
+	} {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkSends, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
+		}
+	}
+}
+
 // TestSeveralCrashingPartsAreRefused guards against parts that are sent on, or sound ones that are blamed, because several parts crash
 // upstreams at the same time.
 func TestSeveralCrashingPartsAreRefused(t *testing.T) {
