--- a/io/mesh/outage_test.go
+++ b/io/mesh/outage_test.go
@@ -96,6 +96,15 @@
 	})
 }
 
+// playOutages plays each case at all seeds.
+func playOutages(t *testing.T, cases []outageCase, checks ...func(*crasherFleet)) {
+	for _, c := range cases {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, checks...)
+		}
+	}
+}
+
 // restartAfter returns a disturbance that restarts some of the nodes after a time, in series.
 func restartAfter(start time.Duration, share int) func(f *crasherFleet, elapsed time.Duration) {
 	const interval = 1500 * time.Millisecond
@@ -245,20 +254,12 @@
 // TestPartThatCrashesInTheMiddleOfAnswersIsRefused guards against a part that is sent on because the upstreams which it crashes
 // have been writing its answers for some time.
 func TestPartThatCrashesInTheMiddleOfAnswersIsRefused(t *testing.T) {
-	for _, c := range crashesAmidAnswers() {
-		for seed := range *outageSeeds {
-			playOutage(t, c, seed, (*crasherFleet).checkSends)
-		}
-	}
+	playOutages(t, crashesAmidAnswers(), (*crasherFleet).checkSends)
 }
 
 // TestPartThatCrashesInTheMiddleOfAnswersHarmsNoOther guards against sound parts and callers that pay for such a part.
 func TestPartThatCrashesInTheMiddleOfAnswersHarmsNoOther(t *testing.T) {
-	for _, c := range crashesAmidAnswers() {
-		for seed := range *outageSeeds {
-			playOutage(t, c, seed, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
-		}
-	}
+	playOutages(t, crashesAmidAnswers(), (*crasherFleet).checkSound, (*crasherFleet).checkParts)
 }
 
 // crashesOfWholeUpstreams returns cases of one part whose requests crash upstreams that hold the whole model before their answers begin,
@@ -282,20 +283,12 @@
 // TestPartThatCrashesWholeUpstreamsLateIsRefused guards against a part that is sent on because the upstreams which it crashes have
 // been running its requests for some time.
 func TestPartThatCrashesWholeUpstreamsLateIsRefused(t *testing.T) {
-	for _, c := range crashesOfWholeUpstreams() {
-		for seed := range *outageSeeds {
-			playOutage(t, c, seed, (*crasherFleet).checkSends)
-		}
-	}
+	playOutages(t, crashesOfWholeUpstreams(), (*crasherFleet).checkSends)
 }
 
 // TestPartThatCrashesWholeUpstreamsLateHarmsNoOther guards against sound parts and callers that pay for such a part.
 func TestPartThatCrashesWholeUpstreamsLateHarmsNoOther(t *testing.T) {
-	for _, c := range crashesOfWholeUpstreams() {
-		for seed := range *outageSeeds {
-			playOutage(t, c, seed, (*crasherFleet).checkSound, (*crasherFleet).checkParts)
-		}
-	}
+	playOutages(t, crashesOfWholeUpstreams(), (*crasherFleet).checkSound, (*crasherFleet).checkParts)
 }
 
 // TestPartThatCrashesPathsThatLoadSlowlyBlamesNoOther guards against sound parts that are blamed while all paths are down for long.
