Show that restarted nodes take a stale list from a node that the store turns away

Cause: a node that has just read the list gives it the version of its newest row, which is lower than that of a removal that another node has seen, and then replaces its list by that node's older one. Change: a script with three nodes, one turned away by the store and two killed while an upstream leaves; nothing is fixed.

--- /dev/null
+++ b/review/standin/drain.go
@@ -0,0 +1,77 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+func init() {
+	cases["drain"], machinesOf["drain"] = playDrain, 3
+}
+
+// playDrain takes two replicas away that never report draining. Before the second one leaves, the store turns one machine
+// away, and the processes on the two others are killed at once; they start again after half a second.
+func playDrain(s *stage) (broken []string) {
+	const (
+		key    = "k1aaaaaaaaaaaaaaaaaa"
+		drains = 2 * time.Second // drain-ms
+		stable = 3 * time.Second // stability-ms
+	)
+	early := s.addReplica("i-00e1", service, s.zones[0])
+	late := s.addReplica("i-00e2", service, s.zones[1])
+	s.startSmall(configOf(1, []object{{"name": "dealer-one", "api-keys": []string{key}, "priority": 1}}))
+	a, others := s.machines[0], s.machines[1:]
+	time.Sleep(3 * time.Second)
+	s.log.add("leaves", "%s leaves the list, acknowledged as %d; it serves on for a while", early.id, s.store.remove("servers", early.id))
+	time.Sleep(2 * time.Second)
+	if s.trouble {
+		s.log.add("trouble", "the store turns %s away with 503", a.name)
+		s.store.setShut(a.name, true)
+	}
+	time.Sleep(time.Second)
+	if s.trouble {
+		for _, m := range others {
+			s.log.add("trouble", "the process on %s is killed", m.name)
+			m.kill()
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	goneAt := time.Now()
+	s.log.add("leaves", "%s leaves the list, acknowledged as %d; it serves on for a while", late.id, s.store.remove("servers", late.id))
+	inTouch := goneAt
+	if s.trouble {
+		time.Sleep(300 * time.Millisecond)
+		for _, m := range others {
+			m.start()
+		}
+		s.log.add("started", "both processes")
+		inTouch = time.Now().Add(stable)
+	}
+	awaitReady(8*time.Second, others...)
+	counted := goneAt.Add(drains)
+	if inTouch.After(counted) {
+		counted = inTouch
+	}
+	time.Sleep(time.Until(counted) + 200*time.Millisecond)
+	s.log.add("counted", "from here on the two machines are in touch, and drain-ms is over")
+	for time.Since(goneAt) < 9*time.Second {
+		for _, m := range others {
+			r := s.call(m, http.MethodGet, host, status, key, 2500*time.Millisecond)
+			for _, x := range s.runsOf(r.attempt) {
+				if x.replica == late.id {
+					broken = append(broken, fmt.Sprintf("DRAIN: %s reached %s through %s %.1f s after its leaving was acknowledged", r.attempt, late.id,
+						m.name, x.at.Sub(goneAt).Seconds()))
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if s.trouble {
+		s.store.setShut(a.name, false)
+		s.log.add("trouble", "the store serves %s again", a.name)
+	}
+	return broken
+}
