--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -89,7 +89,7 @@
 // end ends all processes that were started and closes the record.
 func (s *stage) end() {
 	for _, m := range s.machines {
-		if m.cmd != nil {
+		if m.cmd != nil && m.exited != nil {
 			_ = m.cmd.Process.Kill()
 			<-m.exited
 		}
