--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -58,17 +59,23 @@
 	time.Sleep(time.Until(counted) + 200*time.Millisecond)
 	s.log.add("counted", "from here on the two machines are in touch, and drain-ms is over")
 	for time.Since(goneAt) < 9*time.Second {
-		for _, m := range others {
-			r := s.call(m, http.MethodGet, host, status, key, 2500*time.Millisecond)
-			for _, x := range s.runsOf(r.attempt) {
-				if x.replica == late.id {
-					broken = append(broken, fmt.Sprintf("DRAIN: %s reached %s through %s %.1f s after its leaving was acknowledged", r.attempt, late.id,
-						m.name, x.at.Sub(goneAt).Seconds()))
-				}
-			}
+		var calls sync.WaitGroup
+		for i := range 4 * len(others) {
+			calls.Add(1)
+			go func() {
+				defer calls.Done()
+				s.call(others[i%len(others)], http.MethodGet, host, status, key, 2500*time.Millisecond)
+			}()
 		}
+		calls.Wait()
 		time.Sleep(50 * time.Millisecond)
 	}
+	for _, x := range late.all() {
+		if x.at.After(counted) {
+			broken = append(broken, fmt.Sprintf("DRAIN: %s reached %s %.1f s after its leaving was acknowledged", x.attempt, late.id,
+				x.at.Sub(goneAt).Seconds()))
+		}
+	}
 	if s.trouble {
 		s.store.setShut(a.name, false)
 		s.log.add("trouble", "the store serves %s again", a.name)
