Show that one entry with too large a number ends the node with the lease again and again

Cause: rebalancing indexes by the layers of an entry, which may lie beyond the model; its panic ends the process. Nothing is fixed.

--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -116,6 +116,17 @@
 	m.stoppedAt = time.Now()
 }
 
+// lastLines returns the first line of a panic in the log, or its last line.
+func (m *machine) lastLines() string {
+	raw, _ := os.ReadFile(m.logFile)
+	text := string(raw)
+	if at := strings.LastIndex(text, "panic: "); at >= 0 {
+		text, _, _ = strings.Cut(text[at:], "\n")
+		return text
+	}
+	return text[strings.LastIndex(strings.TrimSpace(text), "\n")+1:]
+}
+
 // isReady asks the readiness check once.
 func (m *machine) isReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -24,6 +26,8 @@
 	crashes string         // path of requests that crash it, or ""
 	crashed func(*replica) // called when one has
 
+	layers object // of a model, which it holds and reports; nil for a plain service
+
 	mu   sync.Mutex
 	runs []run
 }
@@ -68,6 +72,10 @@
 	if r.URL.Path == "/health" {
 		return
 	}
+	if p.layers != nil && strings.HasPrefix(r.URL.Path, "/api/") {
+		p.serveModel(w, r)
+		return
+	}
 	if target := r.Header.Get("X-Rhubarbspread-Target-Instance"); target != "" && target != p.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -94,6 +102,17 @@
 	_, _ = fmt.Fprintf(w, `{"replica":%q,"attempt":%q,"read":%d}`, p.id, attempt, len(body))
 }
 
+// serveModel answers a call for the replica's report, and takes no orders: its state already holds.
+func (p *replica) serveModel(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/api/report" {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(object{"phase": "combined", "models": []object{{"name": "m1", "version": 1, "adapters": []string{}}},
+		"busy": false, "seq": 1, "queued": 0, "active": 0, "kv-used": 0, "kv-total": 100000, "handles": 0, "layers": p.layers, "pace": 1.0})
+}
+
 // all returns the runs so far.
 func (p *replica) all() []run {
 	p.mu.Lock()
