Take no range of layers that the model does not have for an upstream's

Cause: the planner's sums over the layers are indexed with an entry's range, which was checked only against a bound of any model. Entries, reports and the layers that an earlier order expects are now checked against the engine that they are used for, by one function, CheckLayers, which the board uses as well. An entry that the configuration has no place for (service, card, layers) is kept and passed on, but is no upstream. A panic in a step of the planner ends the step, not the process.

--- a/core/board/path.go
+++ b/core/board/path.go
@@ -239,7 +239,7 @@
 	var usable []candidate
 	for _, u := range list {
 		card, ok := n.Engine.Cards[u.Card]
-		if !ok || u.Draining || u.Layers.Len() == 0 || u.Layers.From < 0 || u.Layers.To > n.Engine.Layers ||
+		if !ok || u.Draining || u.Layers.Len() == 0 || n.Engine.CheckLayers(u.Layers) != nil ||
 			contains(n.Exclude, u.ID) {
 			continue
 		}
--- a/core/board/rest.go
+++ b/core/board/rest.go
@@ -90,7 +90,7 @@
 	}
 	held := make([]bool, e.Layers)
 	for _, u := range list {
-		if _, ok := e.Cards[u.Card]; !ok || u.Layers.From < 0 || u.Layers.To > e.Layers {
+		if _, ok := e.Cards[u.Card]; !ok || e.CheckLayers(u.Layers) != nil {
 			continue
 		}
 		for i := u.Layers.From; i < u.Layers.To; i++ {
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -50,7 +50,7 @@
 }
 
 // Step plans for the current upstreams of a service and sends the orders. The function suspected reports whether an
-// upstream is believed to be dead; such upstreams are ignored.
+// upstream is believed to be dead; such upstreams are ignored, as are those with layers that the model does not have.
 func (p *Planner) Step(ctx context.Context, e *rules.Engine, list []*fleet.Upstream,
 	suspected func(*fleet.Upstream) bool) {
 	if _, held := p.fencingToken(); !held {
@@ -63,8 +63,12 @@
 		if !ok || u.Draining || suspected(u) {
 			continue
 		}
+		m := p.member(u, card)
+		if e.CheckLayers(m.Layers) != nil {
+			continue
+		}
 		byID[u.ID] = u
-		members = append(members, p.member(u, card))
+		members = append(members, m)
 	}
 	p.logCoverage(e, members)
 	moves := Plan(e, members)
@@ -185,6 +189,10 @@
 		p.log.Info("order-skipped", "upstream", u.ID, "cause", err.Error())
 		return backoff
 	}
+	if err := e.CheckLayers(r.Layers); err != nil {
+		p.log.Info("order-skipped", "upstream", u.ID, "cause", "its report: "+err.Error())
+		return backoff
+	}
 	loadTime := time.Duration(float64(e.LoadTime) * float64(m.Layers.Len()) / float64(e.Layers))
 	if r.Layers != u.Layers || r.Busy {
 		p.log.Info("order-skipped", "upstream", u.ID, "cause", "the reported state differs from the list",
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -1,8 +1,11 @@
 package rules
 
 import (
+	"fmt"
 	"math"
 	"time"
+
+	"rhubarbspread/core/fleet"
 )
 
 // Engine describes a service's model engines and their cards: memory, speeds and the links between data centres.
@@ -34,6 +37,14 @@
 	PrefillFactor float64 // factor on prefill times, above 1 is slower
 }
 
+// CheckLayers returns an error if a range goes beyond the model.
+func (e *Engine) CheckLayers(r fleet.Range) error {
+	if r.From < 0 || r.To < r.From || r.To > e.Layers {
+		return fmt.Errorf("layers from %d to %d of %d", r.From, r.To, e.Layers)
+	}
+	return nil
+}
+
 // MaxLayers returns how many layers fit into a card's memory if nothing is left for the KV cache.
 func (e *Engine) MaxLayers(c Card) int {
 	return min(e.Layers, int(c.SizeMB/e.LayerMB))
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"rhubarbspread/core/fleet"
 )
 
 // Kind is the class of a route's requests, which decides whether they may be retried.
@@ -70,6 +73,22 @@
 	Engine   *Engine // nil for a plain service
 }
 
+// CheckUpstream returns an error if an entry of the list can't be one of the configured services' upstreams. Other programs may
+// write entries as well.
+func (r *Rules) CheckUpstream(u *fleet.Upstream) error {
+	s := r.services[u.Service]
+	switch {
+	case s == nil:
+		return fmt.Errorf("service %q is not configured", u.Service)
+	case s.Engine == nil:
+		return nil
+	}
+	if _, ok := s.Engine.Cards[u.Card]; !ok {
+		return fmt.Errorf("card %q is not one of service %q", u.Card, u.Service)
+	}
+	return s.Engine.CheckLayers(u.Layers)
+}
+
 // Team is a customer, identified by its API key.
 type Team struct {
 	Name     string
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -150,3 +150,15 @@
 		t.Errorf("%d retries at the start, want at most %d", retries, most)
 	}
 }
+
+// TestPanicOfADutyEndsOnlyItsStep guards against a panic in a duty that cuts off all requests in flight.
+func TestPanicOfADutyEndsOnlyItsStep(t *testing.T) {
+	n := newTestControl().node
+	steps := 0
+	for range 2 {
+		n.contain("plan", func() { steps++; panic("a fault") })
+	}
+	if steps != 2 {
+		t.Errorf("%d steps, want 2", steps)
+	}
+}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -45,6 +45,7 @@
 	node        *Node
 	upstreams   map[string]*fleet.Upstream
 	rawEntries  map[string][]byte    // encoded entries of the upstreams
+	unusable    map[string]string    // why entries name no upstream of a configured service, by key
 	expiring    map[string]time.Time // when entries that expired around an outage of the store count as removed
 	listVersion uint64               // of the list of upstreams
 	rules       *rules.Rules
@@ -60,7 +61,7 @@
 func newControl(n *Node) *control {
 	return &control{
 		node: n, upstreams: make(map[string]*fleet.Upstream), rawEntries: make(map[string][]byte),
-		expiring: make(map[string]time.Time), nodes: make(map[string]mesh.Node),
+		unusable: make(map[string]string), expiring: make(map[string]time.Time), nodes: make(map[string]mesh.Node),
 		rawNodes: make(map[string][]byte), quarantines: make(map[crash.Fingerprint]bool),
 	}
 }
@@ -219,10 +220,31 @@
 	}
 	delete(c.upstreams, id)
 	delete(c.rawEntries, id)
+	delete(c.unusable, id)
 	delete(c.expiring, id)
 	c.node.log.Info("upstream-gone", "upstream", id, "cause", cause)
 }
 
+// isUsable reports whether an entry names an upstream of a service of the configuration in force, and logs why it names none when
+// that changes.
+func (c *control) isUsable(u *fleet.Upstream) bool {
+	cause := ""
+	if c.rules != nil {
+		if err := c.rules.CheckUpstream(u); err != nil {
+			cause = err.Error()
+		}
+	}
+	switch old, ok := c.unusable[u.ID]; {
+	case cause == "" && ok:
+		delete(c.unusable, u.ID)
+		c.node.log.Info("upstream-usable", "upstream", u.ID, "rules", c.rules.Version())
+	case cause != old:
+		c.unusable[u.ID] = cause
+		c.node.log.Info("upstream-unusable", "upstream", u.ID, "cause", cause, "rules", c.rules.Version())
+	}
+	return cause == ""
+}
+
 // removeExpired removes expired entries that have not reappeared, and reports whether there were any.
 func (c *control) removeExpired() bool {
 	removed := false
@@ -279,7 +301,9 @@
 		Quarantines: c.quarantines}
 	list := make([]*fleet.Upstream, 0, len(c.upstreams))
 	for _, u := range c.upstreams {
-		list = append(list, u)
+		if c.isUsable(u) {
+			list = append(list, u)
+		}
 		if _, ok := c.expiring[u.ID]; !ok { // another node would take it for an entry that has reappeared
 			v.Rows = append(v.Rows, store.FeedRow{Key: u.ID, Value: c.rawEntries[u.ID]})
 		}
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -2,17 +2,68 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"rhubarbspread/core/fleet"
+	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
 
 	"github.com/go-logr/logr"
 )
 
+// TestEntryThatFitsNoServiceIsNotUsed guards against entries of another writer, in order by themselves, that the configuration has no
+// place for: an entry with layers beyond the model ended the node that plans.
+func TestEntryThatFitsNoServiceIsNotUsed(t *testing.T) {
+	model := &rules.Engine{Layers: 80, Cards: map[string]rules.Card{"card": {}}}
+	services := []*rules.Service{{Name: "plain"}, {Name: "model", Engine: model}}
+	entries := map[string]*fleet.Upstream{
+		"plain":       {Service: "plain"},
+		"empty":       {Service: "model", Card: "card"},
+		"whole":       {Service: "model", Card: "card", Layers: fleet.Range{From: 0, To: 80}},
+		"beyond":      {Service: "model", Card: "card", Layers: fleet.Range{From: 40, To: 1000}},
+		"no-card":     {Service: "model", Layers: fleet.Range{From: 0, To: 40}},
+		"other-card":  {Service: "model", Card: "other", Layers: fleet.Range{From: 0, To: 40}},
+		"unknown":     {Service: "other"},
+		"smaller-now": {Service: "model", Card: "card", Layers: fleet.Range{From: 60, To: 80}},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestControl()
+		c.node.platform.DecodeUpstream = func(id string, _ []byte) (*fleet.Upstream, error) {
+			u := *entries[id]
+			u.ID = id
+			return &u, nil
+		}
+		ch := change{topic: store.Upstreams, snapshot: true, fromStore: true}
+		for id := range entries {
+			ch.rows = append(ch.rows, store.FeedRow{Key: id, Version: 1})
+		}
+		c.handle(ch)
+		for _, step := range []struct {
+			layers int
+			want   []string
+		}{{80, []string{"empty", "plain", "smaller-now", "whole"}}, {60, []string{"empty", "plain"}}} {
+			model.Layers = step.layers
+			c.rules = rules.New(uint64(step.layers), nil, services, nil, rules.Limits{})
+			c.publish()
+			var got []string
+			for _, u := range c.node.view.Load().List.All() {
+				got = append(got, u.ID)
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, step.want) {
+				t.Errorf("upstreams %v with %d layers, want %v", got, step.layers, step.want)
+			}
+			if rows := len(c.node.view.Load().Rows); rows != len(entries) {
+				t.Errorf("%d entries for other nodes, want %d", rows, len(entries))
+			}
+		}
+	})
+}
+
 // newTestControl returns the control state of a node whose store has just come back after an outage.
 func newTestControl() *control {
 	n := New(Config{HeartbeatInterval: time.Second}, Platform{
--- a/io/entry/tasks.go
+++ b/io/entry/tasks.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"rhubarbspread/core/store"
@@ -71,6 +73,18 @@
 	return nil
 }
 
+// contain runs a step of a duty that serving does not need. A panic ends only the step, as the end of the process would cut off the
+// requests in flight.
+func (n *Node) contain(duty string, step func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.stats.Count("duty-panics")
+			n.log.Error(fmt.Errorf("panic: %v", cause), "duty-failed", "duty", duty, "stack", string(debug.Stack()))
+		}
+	}()
+	step()
+}
+
 // plan runs the placement planner and keeps the rows of quarantined requests; both act only while this node holds the
 // lease.
 func (n *Node) plan(ctx context.Context) error {
@@ -79,7 +93,7 @@
 		v := n.view.Load()
 		if v != nil && v.Rules != nil {
 			for _, s := range v.Rules.Engines() {
-				n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.IsSuspected)
+				n.contain("plan", func() { n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.IsSuspected) })
 			}
 		}
 		if _, held := n.lease.Valid(); held && v != nil {
