Order lists of upstreams by the revision of the store that they reflect

Cause: a list's version was that of its newest row. A node that reads a whole list never sees the rows that were removed, so that its newer list had the lower version. Lists are now compared by the revision that the store's answer names, which each list already carried as the store's word: when another node is asked, by that node when it answers, and when its list is to replace the one here. An answer of the store that comes late no longer replaces a newer list either, and rows older than the list are not applied again.

Rows of nodes share the assumption. Those of another node no longer mix with rows that the store has given; a whole reading replaces all that was known of nodes, and a node whose own row is missing from it writes it again.

TestWordOfTheStoreCoversWhatTheNodeHas, 'another node's list that is older': the list had the store's newer word and an older row, and was to be refused for the row, which is the fault. It now has the older word, and is to be refused as before. The fields of the messages between nodes are as they were: List is the revision's number, which is no less than the newest row's version.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -108,10 +108,10 @@
 
 // newChange returns the answer of the store on a topic, which reflects a revision.
 func newChange(f *follower, rows []store.FeedRow, through store.Revision) change {
-	ch := change{topic: f.topic, rows: rows, snapshot: !f.hasSnapshot, fromStore: true, version: newestVersion(rows)}
+	ch := change{topic: f.topic, rows: rows, snapshot: !f.hasSnapshot, fromStore: true}
 	ch.word = mesh.Word{Through: through, Changed: through, ConfirmedAt: time.Now()}
 	if !ch.snapshot { // a snapshot does not tell when a row was removed
-		ch.word.Changed.Number, ch.since = ch.version, f.since
+		ch.word.Changed.Number, ch.since = newestVersion(rows), f.since
 	}
 	return ch
 }
@@ -295,18 +295,18 @@
 
 // lagTracker tracks how long this node has been behind others.
 type lagTracker struct {
-	rulesBehindSince time.Time     // since when another node has had a newer configuration, or zero
-	listVersion      uint64        // of the node's own list
-	listChangedAt    time.Time     // when that version was first seen
-	listPause        time.Duration // between polls for the list
+	rulesBehindSince time.Time      // since when another node has had a newer configuration, or zero
+	list             store.Revision // that the node's own list reflects
+	listAdvancedAt   time.Time      // when that was first seen
+	listPause        time.Duration  // between polls for the list
 }
 
 // shouldFetch reports whether a node with the given state should fetch from a peer that is ahead. Changes in the store
-// reach some nodes a little later than others; a list that stays the same while other nodes' lists change indicates a
-// hanging call.
+// reach some nodes a little later than others; a list that stays at a revision while other nodes' lists change
+// indicates a hanging call.
 func (l *lagTracker) shouldFetch(now time.Time, own mesh.StoreState, peer mesh.Peer, isStoreFailing bool) bool {
-	if own.ListVersion != l.listVersion || l.listChangedAt.IsZero() {
-		l.listVersion, l.listChangedAt = own.ListVersion, now
+	if own.ListWord.Through != l.list || l.listAdvancedAt.IsZero() {
+		l.list, l.listAdvancedAt = own.ListWord.Through, now
 	}
 	if own.RulesVersion >= peer.RulesVersion {
 		l.rulesBehindSince = time.Time{}
@@ -319,7 +319,7 @@
 	case !l.rulesBehindSince.IsZero() && now.Sub(l.rulesBehindSince) >= minLag:
 		return true
 	}
-	return peer.ListVersion > own.ListVersion && now.Sub(l.listChangedAt) >= l.listPause+minLag
+	return peer.HasNewerList(own.ListWord.Through) && now.Sub(l.listAdvancedAt) >= l.listPause+minLag
 }
 
 // fetchFromNodes fetches from other nodes what this one can't get from the store.
@@ -329,7 +329,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, fetchInterval)
 		own := n.storeState()
-		peer, ok := n.mesh.NewerPeer(own.RulesVersion, own.ListVersion)
+		peer, ok := n.mesh.NewerPeer(own.RulesVersion, own.ListWord.Through)
 		needsSeed := own.RulesVersion == 0 || len(own.NodeRows) == 0 && time.Since(seedAskedAt) >= seedInterval
 		if !ok && needsSeed && n.isStoreFailing() && len(n.config.Seeds) > 0 {
 			seed := n.config.Seeds[rand.IntN(len(n.config.Seeds))]
@@ -338,18 +338,18 @@
 		}
 		lag.listPause = listPause(n.changeBound())
 		if !ok {
-			peer = mesh.Peer{RulesVersion: own.RulesVersion, ListVersion: own.ListVersion}
+			peer = mesh.Peer{RulesVersion: own.RulesVersion}
 		}
 		if !lag.shouldFetch(time.Now(), own, peer, n.isStoreFailing()) || !ok {
 			continue
 		}
-		fetched, err := n.mesh.Fetch(ctx, peer.RPCAddress, own)
+		fetched, err := n.mesh.Fetch(ctx, peer, own)
 		if err != nil {
 			n.log.Info("node-silent", "other", peer.Name, "cause", err.Error())
 			continue
 		}
-		n.log.Info("news", "other", peer.Name, "rules", peer.RulesVersion, "list", fetched.ListVersion,
-			"had-rules", own.RulesVersion, "had-list", own.ListVersion, "nodes", len(fetched.NodeRows))
+		n.log.Info("news", "other", peer.Name, "rules", peer.RulesVersion, "list", fetched.ListWord.Through.Number,
+			"had-rules", own.RulesVersion, "had-list", own.ListWord.Through.Number, "nodes", len(fetched.NodeRows))
 		n.forwardState(ctx, fetched, changes)
 	}
 	return nil
@@ -362,12 +362,11 @@
 		list = append(list, change{topic: store.Configuration, rows: []store.FeedRow{{Value: fetched.RawRules}},
 			word: fetched.RulesWord})
 	}
-	if fetched.ListVersion > 0 {
-		list = append(list, change{topic: store.Upstreams, rows: fetched.Rows, version: fetched.ListVersion, snapshot: true,
-			word: fetched.ListWord})
+	if !fetched.ListWord.ConfirmedAt.IsZero() {
+		list = append(list, change{topic: store.Upstreams, rows: fetched.Rows, snapshot: true, word: fetched.ListWord})
 	}
 	if len(fetched.NodeRows) > 0 {
-		list = append(list, change{topic: store.Nodes, rows: fetched.NodeRows})
+		list = append(list, change{topic: store.Nodes, rows: fetched.NodeRows, snapshot: true})
 	}
 	for _, ch := range list {
 		select {
--- a/io/entry/follow_test.go
+++ b/io/entry/follow_test.go
@@ -28,7 +28,7 @@
 	const pause = time.Second
 	type step struct {
 		after              time.Duration
-		rules, list        uint64 // versions of the node
+		rules, list        uint64 // version and revision of the node
 		peerRules          uint64
 		peerList           uint64
 		storeFailing, want bool
@@ -53,8 +53,9 @@
 			now := time.Unix(1000, 0)
 			for i, x := range test.steps {
 				now = now.Add(x.after)
-				got := l.shouldFetch(now, mesh.StoreState{RulesVersion: x.rules, ListVersion: x.list},
-					mesh.Peer{RulesVersion: x.peerRules, ListVersion: x.peerList}, x.storeFailing)
+				own, changed := store.Revision{Number: x.list}, store.Revision{Number: x.peerList}
+				got := l.shouldFetch(now, mesh.StoreState{RulesVersion: x.rules, ListWord: mesh.Word{Through: own}},
+					mesh.Peer{RulesVersion: x.peerRules, ListWord: mesh.Word{Changed: changed}}, x.storeFailing)
 				if got != x.want {
 					t.Errorf("step %d: fetches: %v, want %v", i, got, x.want)
 				}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -74,6 +74,8 @@
 	waitingConns   sync.Map     // callers' net.Conns without a request, each with its waiting
 	keptConns      atomic.Int64 // connections that were to be closed and on which a request had arrived
 	stats          *stats.Set
+	announced      atomic.Bool   // this node's row has been written
+	rowLost        chan struct{} // receives a value when the store no longer has that row
 
 	storeMu      sync.Mutex
 	storeFailing map[store.Topic]bool
@@ -101,7 +103,7 @@
 		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
 		board: board.New(board.WithNode(mesh.NameHash(c.Node)), board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node)),
 			board.WithOwnFault(tracker.IsSuspected)),
-		stats:        stats.New(),
+		stats: stats.New(), rowLost: make(chan struct{}, 1),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeFailing: make(map[store.Topic]bool), storeReadAt: make(map[store.Topic]time.Time),
 		storeReadBefore: make(map[store.Topic]time.Time), words: make(map[store.Topic]mesh.Word),
@@ -165,16 +167,10 @@
 	_, isPlanner := n.lease.Valid()
 	state := mesh.StoreState{RawRules: v.RawRules, Rows: v.Rows, NodeRows: v.NodeRows, IsPlanner: isPlanner,
 		RulesWord: rulesWord, ListWord: listWord, ListNews: n.listNews()}
-	state.RulesVersion, state.ListVersion = v.versions()
-	return state
-}
-
-// versions returns the versions of the configuration, or 0 for none, and of the list of upstreams.
-func (v *View) versions() (rulesVersion, listVersion uint64) {
 	if v.Rules != nil {
-		rulesVersion = v.Rules.Version()
+		state.RulesVersion = v.Rules.Version()
 	}
-	return rulesVersion, v.List.Version()
+	return state
 }
 
 // otherNodes returns the other nodes in the store's list.
@@ -197,13 +193,17 @@
 // DataCentre returns the node's own data centre.
 func (n *Node) DataCentre() string { return n.config.DataCentre }
 
-// Versions returns the versions of the configuration and of the list of upstreams.
+// Versions returns the version of the configuration, or 0 for none, and the number of the revision that the list of upstreams
+// reflects.
 func (n *Node) Versions() (rulesVersion, listVersion uint64) {
 	v := n.view.Load()
 	if v == nil {
 		return 0, 0
 	}
-	return v.versions()
+	if v.Rules != nil {
+		rulesVersion = v.Rules.Version()
+	}
+	return rulesVersion, v.List.Version()
 }
 
 // maxConns returns this node's share of the connections to one upstream of a service, or 0 for no limit.
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -57,7 +57,6 @@
 		return
 	}
 	ch := change{topic: f.topic, rows: news.After(f.since), word: word, since: f.since}
-	ch.version = newestVersion(ch.rows)
 	select {
 	case changes <- ch:
 		f.since, f.confirmedAt = word.Through, word.ConfirmedAt
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -35,11 +35,11 @@
 			[]change{read(false, revision(90), row(80)), read(false, store.Revision{Era: 2, Number: 40}, row(30))},
 			store.Revision{Era: 2, Number: 40}, store.Revision{Era: 2, Number: 40}},
 		{"another node's list", []change{read(false, revision(9), row(5)),
-			{topic: store.Upstreams, rows: []store.FeedRow{row(12)}, version: 12, snapshot: true,
+			{topic: store.Upstreams, rows: []store.FeedRow{row(12)}, snapshot: true,
 				word: mesh.Word{Through: revision(15), Changed: revision(12), ConfirmedAt: time.Now()}}}, revision(15), revision(12)},
 		{"another node's list that is older", []change{read(false, revision(9), row(5)), read(true, revision(14), row(12)),
-			{topic: store.Upstreams, rows: []store.FeedRow{row(5)}, version: 5, snapshot: true,
-				word: mesh.Word{Through: revision(99), Changed: revision(98), ConfirmedAt: time.Now()}}}, revision(14), revision(12)},
+			{topic: store.Upstreams, rows: []store.FeedRow{row(5)}, snapshot: true,
+				word: mesh.Word{Through: revision(13), Changed: revision(13), ConfirmedAt: time.Now()}}}, revision(14), revision(12)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -33,7 +33,6 @@
 type change struct {
 	topic     store.Topic
 	rows      []store.FeedRow
-	version   uint64         // of the newest row
 	word      mesh.Word      // of the store, which covers the rows
 	since     store.Revision // after which the rows changed; zero for a snapshot
 	snapshot  bool           // rows are all rows of the topic
@@ -42,17 +41,18 @@
 
 // control maintains the node's copy of the store's data; one goroutine runs it.
 type control struct {
-	node        *Node
-	upstreams   map[string]*fleet.Upstream
-	rawEntries  map[string][]byte    // encoded entries of the upstreams
-	unusable    map[string]string    // why entries name no upstream of a configured service, by key
-	expiring    map[string]time.Time // when entries that expired around an outage of the store count as removed
-	listVersion uint64               // of the list of upstreams
-	rules       *rules.Rules
-	rawRules    []byte
-	nodes       map[string]mesh.Node
-	rawNodes    map[string][]byte          // rows that nodes write; empty until they have been read
-	quarantines map[crash.Fingerprint]bool // those that have a row; replaced when it changes
+	node         *Node
+	upstreams    map[string]*fleet.Upstream
+	rawEntries   map[string][]byte    // encoded entries of the upstreams
+	unusable     map[string]string    // why entries name no upstream of a configured service, by key
+	expiring     map[string]time.Time // when entries that expired around an outage of the store count as removed
+	list         store.Revision       // that the upstreams reflect at least
+	rules        *rules.Rules
+	rawRules     []byte
+	nodes        map[string]mesh.Node
+	rawNodes     map[string][]byte          // rows that nodes write; empty until they have been read
+	hasReadNodes bool                       // the rows of nodes have been read from the store
+	quarantines  map[crash.Fingerprint]bool // those that have a row; replaced when it changes
 
 	logsEntries    bool // each changed entry of the change that is being applied is logged
 	changedEntries int  // of that change
@@ -91,10 +91,10 @@
 
 // handle puts a change in force, and then records the word of the store that came with it.
 func (c *control) handle(ch change) {
+	if !c.apply(ch) {
+		return
+	}
 	if len(ch.rows) > 0 || ch.snapshot {
-		if !c.apply(ch) {
-			return
-		}
 		c.publish()
 	}
 	c.node.addWord(ch)
@@ -108,18 +108,44 @@
 			c.applyConfiguration(row, ch.fromStore)
 		}
 	case store.Upstreams:
-		if ch.version < c.listVersion && !(ch.snapshot && ch.fromStore) {
-			return false // fetched from another node, and older than the list here
+		through := ch.word.Through
+		if through.Compare(c.list) < 0 {
+			return false
+		}
+		if !ch.snapshot && through.Era == c.list.Era {
+			ch.rows = rowsAfter(ch.rows, c.list) // the others are applied, or have changed again
 		}
-		// The newest row of a snapshot may be older than a row that has been removed since.
-		c.listVersion = max(c.listVersion, ch.version)
+		c.list = through
 		c.applyUpstreams(ch)
 	case store.Nodes:
-		if ch.snapshot {
-			c.quarantines, c.rawNodes = make(map[crash.Fingerprint]bool), make(map[string][]byte)
-		}
-		for _, row := range ch.rows {
-			c.applyNodeRow(row)
+		return c.applyNodes(ch)
+	}
+	return true
+}
+
+// rowsAfter returns the rows that changed after a revision of the same era.
+func rowsAfter(rows []store.FeedRow, r store.Revision) []store.FeedRow {
+	return slices.DeleteFunc(slices.Clone(rows), func(row store.FeedRow) bool { return row.Version <= r.Number })
+}
+
+// applyNodes applies changed rows of nodes, or all of them. Those that another node had tell nothing to one that has read the store,
+// as they name no revision.
+func (c *control) applyNodes(ch change) bool {
+	if !ch.fromStore && c.hasReadNodes {
+		return false
+	}
+	c.hasReadNodes = c.hasReadNodes || ch.fromStore
+	if ch.snapshot {
+		c.quarantines, c.rawNodes = make(map[crash.Fingerprint]bool), make(map[string][]byte)
+		c.nodes = make(map[string]mesh.Node)
+	}
+	for _, row := range ch.rows {
+		c.applyNodeRow(row)
+	}
+	if _, ok := c.rawNodes[c.node.config.Node]; !ok && ch.fromStore && c.node.announced.Load() {
+		select {
+		case c.node.rowLost <- struct{}{}:
+		default: // it is about to be written
 		}
 	}
 	return true
@@ -155,7 +181,7 @@
 	c.logsEntries, c.changedEntries = len(ch.rows) <= maxEntryLines, 0
 	defer func() {
 		if !c.logsEntries && c.changedEntries > 0 {
-			c.node.log.Info("upstreams", "changed", c.changedEntries, "listed", len(c.upstreams), "version", ch.version)
+			c.node.log.Info("upstreams", "changed", c.changedEntries, "listed", len(c.upstreams), "version", ch.word.Through.Number)
 		}
 	}()
 	listed := make(map[string]bool, len(ch.rows))
@@ -308,7 +334,7 @@
 			v.Rows = append(v.Rows, store.FeedRow{Key: u.ID, Value: c.rawEntries[u.ID]})
 		}
 	}
-	v.List = fleet.NewList(c.listVersion, list)
+	v.List = fleet.NewList(c.list.Number, list)
 	for name, node := range c.nodes {
 		v.Nodes[name] = node
 	}
--- a/io/entry/tasks.go
+++ b/io/entry/tasks.go
@@ -58,17 +58,23 @@
 	return running
 }
 
-// announce writes this node's row to the store, with retries until that succeeds.
+// announce writes this node's row to the store, with retries until that succeeds, and again when the row is lost.
 func (n *Node) announce(ctx context.Context) error {
 	raw, err := json.Marshal(nodeRow{n.config.DatagramAddress, n.config.DataCentre, n.config.capacity()})
 	if err != nil {
 		return err
 	}
 	for ctx.Err() == nil {
-		if err := n.platform.Feed.Write(ctx, n.config.Node, raw); err == nil {
-			return nil
+		if err := n.platform.Feed.Write(ctx, n.config.Node, raw); err != nil {
+			sleep(ctx, maxRetryBackoff)
+			continue
+		}
+		n.announced.Store(true)
+		select {
+		case <-n.rowLost:
+			n.log.Info("announce-again", "cause", "the store no longer has this node's row")
+		case <-ctx.Done():
 		}
-		sleep(ctx, maxRetryBackoff)
 	}
 	return nil
 }
--- a/io/mesh/fetch.go
+++ b/io/mesh/fetch.go
@@ -15,14 +15,15 @@
 // fetchTimeout is the longest time of one fetch from another node.
 const fetchTimeout = 800 * time.Millisecond
 
-// NewerPeer returns the live node with the newest configuration and list, if it has a newer configuration or list than
-// the given versions. A node from which a fetch has just failed is returned only if there is no other.
-func (m *Mesh) NewerPeer(rulesVersion, listVersion uint64) (Peer, bool) {
+// NewerPeer returns the live node with the newest configuration and list, if it has a newer configuration than a version, or
+// knows of a change of the list after a revision. A node from which a fetch has just failed is returned only if there is no
+// other.
+func (m *Mesh) NewerPeer(rulesVersion uint64, list store.Revision) (Peer, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var newest *peerState
 	for _, s := range m.peers {
-		if time.Since(s.LastSeen) > peerTTL || s.RulesVersion <= rulesVersion && s.ListVersion <= listVersion {
+		if time.Since(s.LastSeen) > peerTTL || s.RulesVersion <= rulesVersion && !s.HasNewerList(list) {
 			continue
 		}
 		if newest == nil || s.compareForFetch(newest) > 0 {
@@ -35,6 +36,9 @@
 	return newest.Peer, true
 }
 
+// HasNewerList reports whether a node knows of a change of the list after a revision.
+func (p *Peer) HasNewerList(r store.Revision) bool { return p.ListWord.Changed.Compare(r) > 0 }
+
 // compareForFetch returns a positive number if a node is a better one to fetch from than another.
 func (s *peerState) compareForFetch(other *peerState) int {
 	reachable := func(s *peerState) int {
@@ -44,7 +48,7 @@
 		return 1
 	}
 	return cmp.Or(cmp.Compare(reachable(s), reachable(other)), cmp.Compare(s.RulesVersion, other.RulesVersion),
-		cmp.Compare(s.ListVersion, other.ListVersion))
+		s.ListWord.Through.Compare(other.ListWord.Through))
 }
 
 // recordFetch records the result of a fetch from the node at an address.
@@ -62,35 +66,41 @@
 	}
 }
 
-// Fetch requests the data that is newer than the given state from the node at an address, and the rows of the nodes if
-// the state has none.
-func (m *Mesh) Fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
-	fetched, err := fetch(ctx, address, own)
-	m.recordFetch(address, err)
+// Fetch requests the data that is newer than the given state from another node, and the rows of the nodes if the state has
+// none. Without a list in the answer, the answer has no ListWord either.
+func (m *Mesh) Fetch(ctx context.Context, p Peer, own StoreState) (StoreState, error) {
+	fetched, err := fetch(ctx, p, own)
+	m.recordFetch(p.RPCAddress, err)
 	return fetched, err
 }
 
-func fetch(ctx context.Context, address string, own StoreState) (StoreState, error) {
+func fetch(ctx context.Context, p Peer, own StoreState) (StoreState, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d net.Dialer
-	tcp, err := d.DialContext(ctx, "tcp", address)
+	tcp, err := d.DialContext(ctx, "tcp", p.RPCAddress)
 	if err != nil {
 		return StoreState{}, err
 	}
 	conn := drpcconn.New(tcp)
 	defer conn.Close()
-	reply, err := wire.NewDRPCMeshClient(conn).News(ctx, &wire.NewsRequest{
-		Rules: own.RulesVersion, List: own.ListVersion, LacksNodes: len(own.NodeRows) == 0,
-	})
+	request := &wire.NewsRequest{
+		Rules: own.RulesVersion, List: own.ListWord.Through.Number, LacksNodes: len(own.NodeRows) == 0,
+	}
+	if p.HasNewerList(own.ListWord.Through) {
+		request.List = 0 // numbers of a later era may be lower
+	}
+	reply, err := wire.NewDRPCMeshClient(conn).News(ctx, request)
 	if err != nil {
 		return StoreState{}, err
 	}
-	return StoreState{
-		RawRules: reply.GetConfiguration(), ListVersion: reply.GetList(), Rows: decodeRows(reply.GetEntries()),
-		NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord()),
-		ListWord: decodeWord(reply.GetListWord()),
-	}, nil
+	fetched := StoreState{
+		RawRules: reply.GetConfiguration(), NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord()),
+	}
+	if reply.GetList() > 0 {
+		fetched.Rows, fetched.ListWord = decodeRows(reply.GetEntries()), decodeWord(reply.GetListWord())
+	}
+	return fetched, nil
 }
 
 func decodeRows(entries []*wire.Entry) []store.FeedRow {
@@ -122,8 +132,8 @@
 	if state.RulesVersion > in.GetRules() {
 		out.Configuration = state.RawRules
 	}
-	if state.ListVersion > in.GetList() {
-		out.List = state.ListVersion
+	if state.ListWord.Through.Number > in.GetList() {
+		out.List = state.ListWord.Through.Number
 		out.Entries = encodeRows(state.Rows)
 	}
 	if in.GetLacksNodes() {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -34,9 +34,8 @@
 // StoreState is the store's data that a node has.
 type StoreState struct {
 	RulesVersion uint64          // of the configuration, or 0 for none
-	ListVersion  uint64          // version of the store that the list of upstreams reflects
 	RawRules     []byte          // encoded configuration
-	Rows         []store.FeedRow // entries of the upstreams
+	Rows         []store.FeedRow // entries of the upstreams, which reflect the revision ListWord.Through at least
 	NodeRows     []store.FeedRow // rows that nodes write
 	IsPlanner    bool            // the node holds the placement lease
 	RulesWord    Word            // on the configuration
@@ -68,7 +67,6 @@
 	DataCentre   string
 	RPCAddress   string // IP:port
 	RulesVersion uint64
-	ListVersion  uint64
 	LastSeen     time.Time // when the latest datagram arrived
 	IsPlanner    bool      // it holds the placement lease
 	RulesWord    Word      // on the configuration
@@ -228,7 +226,7 @@
 // peerOf returns a node as a datagram that has just arrived describes it.
 func peerOf(d *wire.Digest) Peer {
 	return Peer{Name: d.GetNode(), DataCentre: d.GetDataCentre(), RPCAddress: d.GetQuestions(), RulesVersion: d.GetRules(),
-		ListVersion: d.GetList(), LastSeen: time.Now(), IsPlanner: d.GetPlans(),
+		LastSeen: time.Now(), IsPlanner: d.GetPlans(),
 		RulesWord: decodeWord(d.GetRulesWord()), ListWord: decodeWord(d.GetListWord())}
 }
 
@@ -358,7 +356,7 @@
 	evidence := m.crashes.Evidence()
 	d := &wire.Digest{
 		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence,
-		Rules: state.RulesVersion, List: state.ListVersion,
+		Rules: state.RulesVersion, List: state.ListWord.Through.Number,
 		DataCentre: m.config.DataCentre, Plans: state.IsPlanner, Crashes: m.marksToSend(sequence, evidence),
 		Address: m.config.DatagramAddress, Questions: m.config.RPCAddress, Resting: m.board.FailedHashes(),
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -300,19 +300,55 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 5, "a")
 		g.deliver(1)
-		if p, ok := g.nodes[0].NewerPeer(3, 0); !ok || p.RulesVersion != 4 {
+		if p, ok := g.nodes[0].NewerPeer(3, store.Revision{}); !ok || p.RulesVersion != 4 {
 			t.Errorf("newer than 3: %+v, %v", p, ok)
 		}
-		if p, ok := g.nodes[0].NewerPeer(4, 0); ok {
+		if p, ok := g.nodes[0].NewerPeer(4, store.Revision{}); ok {
 			t.Errorf("newer than the newest: %+v", p)
 		}
 		time.Sleep(peerTTL + time.Millisecond)
-		if p, ok := g.nodes[0].NewerPeer(0, 0); ok {
+		if p, ok := g.nodes[0].NewerPeer(0, store.Revision{}); ok {
 			t.Errorf("silent node returned: %+v", p)
 		}
 	})
 }
 
+// TestNewerPeerKnowsOfAChange guards against fetches of the list from a node that has only seen the version of a row which this node
+// has not, as it was removed before this node read the list.
+func TestNewerPeerKnowsOfAChange(t *testing.T) {
+	word := func(era, through, changed uint64) Word {
+		return Word{Through: store.Revision{Era: era, Number: through}, Changed: store.Revision{Era: era, Number: changed}}
+	}
+	own := store.Revision{Era: 1, Number: 20}
+	tests := []struct {
+		name string
+		word Word
+		want bool
+	}{
+		{"an older list with a newer row", word(1, 19, 19), false},
+		{"a later confirmation of the same", word(1, 30, 20), false},
+		{"a change", word(1, 30, 21), true},
+		{"an earlier era", word(0, 99, 99), false},
+		{"a later era", word(2, 3, 3), true},
+		{"none", Word{}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 2, "a")
+				if tc.word != (Word{}) {
+					tc.word.ConfirmedAt = time.Now()
+				}
+				g.nodes[1].storeState = func() StoreState { return StoreState{ListWord: tc.word} }
+				g.deliver(1)
+				if _, ok := g.nodes[0].NewerPeer(0, own); ok != tc.want {
+					t.Errorf("newer: %v, want %v", ok, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // TestUnreachablePeerIsNotAskedAgainAtOnce guards against fetches from the newest node alone, although it can't be reached.
 func TestUnreachablePeerIsNotAskedAgainAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -322,17 +358,17 @@
 		}
 		g.deliver(1)
 		m := g.nodes[0]
-		newest, _ := m.NewerPeer(0, 0)
+		newest, _ := m.NewerPeer(0, store.Revision{})
 		m.recordFetch(newest.RPCAddress, errors.New("connection refused"))
-		if p, ok := m.NewerPeer(0, 0); !ok || p.Name == newest.Name {
+		if p, ok := m.NewerPeer(0, store.Revision{}); !ok || p.Name == newest.Name {
 			t.Errorf("%q after a fetch from it failed, want another node", p.Name)
 		}
-		if p, ok := m.NewerPeer(newest.RulesVersion-1, 0); !ok || p.Name != newest.Name {
+		if p, ok := m.NewerPeer(newest.RulesVersion-1, store.Revision{}); !ok || p.Name != newest.Name {
 			t.Errorf("%q, want the only node with a newer configuration", p.Name)
 		}
 		time.Sleep(peerTTL + time.Millisecond)
 		g.deliver(2)
-		if p, _ := m.NewerPeer(0, 0); p.Name != newest.Name {
+		if p, _ := m.NewerPeer(0, store.Revision{}); p.Name != newest.Name {
 			t.Errorf("%q some time after the failure, want the newest node", p.Name)
 		}
 	})
@@ -341,13 +377,14 @@
 func TestNewsHasOnlyWhatIsNewer(t *testing.T) {
 	m := New(Config{Node: "n"}, board.New(), func() StoreState {
 		return StoreState{
-			RulesVersion: 7, ListVersion: 9, RawRules: []byte("config"),
+			RulesVersion: 7, RawRules: []byte("config"),
+			ListWord: Word{Through: store.Revision{Number: 9}, ConfirmedAt: time.Now()},
 			Rows:     []store.FeedRow{{Key: "u", Value: []byte("entry")}},
 			NodeRows: []store.FeedRow{{Key: "n", Value: []byte("row")}},
 		}
 	}, nil, nil, nil, logr.Discard())
 	tests := []struct {
-		rules, list uint64 // versions in the request
+		rules, list uint64 // version and revision in the request
 		lacksNodes  bool
 		hasConfig   bool
 		entries     int
--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -135,7 +135,7 @@
 		g := newReaderGroup(t, 24)
 		for _, m := range g.nodes {
 			m.peers = make(map[string]*peerState)
-			m.storeState = func() StoreState { return StoreState{RulesVersion: 3, ListVersion: 5} }
+			m.storeState = func() StoreState { return StoreState{RulesVersion: 3} }
 		}
 		g.exchange(6)
 		for _, m := range g.nodes {
