Require keys wherever the configuration has teams, also without any key

Cause: whether callers need a key was read off the number of keys, so that taking the last one opened all routes. A configuration now says who may send requests by a type of its own: Open, for one without the list of teams, or Keyed, which lets nobody in without a key, though there be none. Without either, nobody is let in. An empty key is the key of no team.

--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -95,6 +95,18 @@
 	Priority int // replaces the route's if not negative
 }
 
+// Access says who may send requests to routes that are not public: Open or Keyed.
+type Access interface{ isAccess() }
+
+// Open lets everyone send requests, without a key.
+type Open struct{}
+
+// Keyed lets those send requests that hold a key of a team, and nobody if there are no keys.
+type Keyed map[string]Team
+
+func (Open) isAccess()  {}
+func (Keyed) isAccess() {}
+
 // Limits bound what callers may send.
 type Limits struct {
 	HeaderBytes int
@@ -108,18 +120,18 @@
 	routes     map[string][]*Route // by host, longest prefix first
 	routeCount int
 	services   map[string]*Service
-	keys       map[string]Team
+	access     Access
 	limits     Limits
 }
 
-// New returns a version of the configuration. With no keys, callers need none.
-func New(version uint64, routes []*Route, services []*Service, keys map[string]Team, limits Limits) *Rules {
+// New returns a version of the configuration.
+func New(version uint64, routes []*Route, services []*Service, access Access, limits Limits) *Rules {
 	r := &Rules{
 		version:    version,
 		routes:     make(map[string][]*Route),
 		routeCount: len(routes),
 		services:   make(map[string]*Service, len(services)),
-		keys:       keys,
+		access:     access,
 		limits:     limits,
 	}
 	for _, t := range routes {
@@ -173,10 +185,17 @@
 }
 
 // NeedsKey reports whether requests of a route need a team's key.
-func (r *Rules) NeedsKey(t *Route) bool { return len(r.keys) > 0 && !t.Public }
+func (r *Rules) NeedsKey(t *Route) bool {
+	_, isOpen := r.access.(Open)
+	return !isOpen && !t.Public
+}
 
-// Team returns the team that holds a key.
+// Team returns the team that holds a key. An empty key is none.
 func (r *Rules) Team(key string) (Team, bool) {
-	t, ok := r.keys[key]
+	keys, ok := r.access.(Keyed)
+	if !ok || key == "" {
+		return Team{}, false
+	}
+	t, ok := keys[key]
 	return t, ok
 }
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -68,11 +68,11 @@
 }
 
 func TestKeys(t *testing.T) {
-	open := New(1, nil, nil, nil, Limits{})
+	open := New(1, nil, nil, Open{}, Limits{})
 	if open.NeedsKey(&Route{}) {
 		t.Error("a key is required though the configuration has no teams")
 	}
-	r := New(1, nil, nil, map[string]Team{"k": {Name: "t", Priority: 2}}, Limits{})
+	r := New(1, nil, nil, Keyed{"k": {Name: "t", Priority: 2}}, Limits{})
 	if !r.NeedsKey(&Route{}) || r.NeedsKey(&Route{Public: true}) {
 		t.Error("a key must be required on all routes but public ones")
 	}
@@ -82,6 +82,9 @@
 	if _, ok := r.Team(""); ok {
 		t.Error("an empty key has a team")
 	}
+	if closed := New(1, nil, nil, Keyed{}, Limits{}); !closed.NeedsKey(&Route{}) || closed.NeedsKey(&Route{Public: true}) {
+		t.Error("a key must be required on all routes but public ones though there are none")
+	}
 }
 
 // TestPrefillRate checks the arithmetic of an engine's timing: a pass runs its decode steps, then prefills one chunk.
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -49,7 +49,7 @@
 			want   []string
 		}{{80, []string{"empty", "plain", "smaller-now", "whole"}}, {60, []string{"empty", "plain"}}} {
 			model.Layers = step.layers
-			c.rules = rules.New(uint64(step.layers), nil, services, nil, rules.Limits{})
+			c.rules = rules.New(uint64(step.layers), nil, services, rules.Open{}, rules.Limits{})
 			c.publish()
 			var got []string
 			for _, u := range c.node.view.Load().List.All() {
