Send no requests to a service whose weight is 0

A route whose weights were all 0 sent its requests to the last service of the split, to which the configuration sends none. It has no service now, and its requests are refused. The class is that of empty parts of a configuration.

TestServiceFollowsWeights failed before in two of its new cases.

--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -47,23 +47,25 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
-// Service returns the service that takes a request; random is uniform in [0, 1).
+// Service returns the service that takes a request, or "" if none has a weight; random is uniform in [0, 1).
 func (r *Route) Service(random float64) string {
 	total := 0.0
 	for _, s := range r.Split {
 		total += s.Weight
 	}
 	offset := random * total
+	service := ""
 	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
+		service = s.Service // also if rounding takes the offset beyond the last one
 		if offset < s.Weight {
-			return s.Service
+			break
 		}
 		offset -= s.Weight
 	}
-	if len(r.Split) == 0 {
-		return ""
-	}
-	return r.Split[len(r.Split)-1].Service
+	return service
 }
 
 // Service is a group of upstreams that serve the same requests.
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -43,6 +43,20 @@
 	if counts["a"] != 900 || counts["b"] != 100 {
 		t.Errorf("requests by service: %v, want 900 and 100", counts)
 	}
+	for _, tc := range []struct {
+		split  []Share
+		random float64
+		want   string
+	}{
+		{[]Share{{"a", 0}}, 0.5, ""},
+		{[]Share{{"a", 0}, {"b", 0}}, 0, ""},
+		{[]Share{{"a", 0}, {"b", 1}}, 0, "b"},
+		{[]Share{{"a", 0.1}, {"b", 0.2}, {"c", 0}}, math.Nextafter(1, 0), "b"},
+	} {
+		if got := (&Route{Split: tc.split}).Service(tc.random); got != tc.want {
+			t.Errorf("service %q of %v at %v, want %q", got, tc.split, tc.random, tc.want)
+		}
+	}
 	if got := (&Route{}).Service(0.5); got != "" {
 		t.Errorf("service %q of a route without services, want none", got)
 	}
