Choose relays of which something is heard, not rows of nodes that are gone

Cause: a row in the list was taken for a node. Rows of nodes that are gone for good stay, and from 16 rows on the first two of a data centre relay for it. A silent one only gave way if it had been seen as a relay before. Now a node that counts as a relay and is not heard for 3 s gives way as well, until it is heard; relays are also sent to while another node would choose others; and while none of a data centre is heard, each of its rows is tried in turn.

TestMarksSpreadThoughGoneNodesComeFirst failed before in six of its eight cases.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -105,6 +105,7 @@
 
 	mu          sync.Mutex
 	peers       map[string]*peerState // by node name
+	awaited     awaited               // relays that this node has not heard
 	recentMarks []recentMark          // made by this node
 	news        chan struct{}         // receives a value when a relay learns of doubts that others may not know
 }
@@ -126,7 +127,7 @@
 	crashes CrashRegistry, retries RetryBudget, log logr.Logger) *Mesh {
 	return &Mesh{
 		config: c, board: b, crashes: crashes, retries: retries, storeState: storeState, listedNodes: listedNodes, log: log,
-		peers:       make(map[string]*peerState),
+		peers: make(map[string]*peerState), awaited: newAwaited(),
 		incarnation: uint64(time.Now().UnixNano()), news: make(chan struct{}, 1),
 	}
 }
@@ -207,6 +208,7 @@
 	}
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
 	s.Peer = peerOf(d)
+	m.awaited.heard(d.GetNode())
 	s.latest = d
 	if d.GetScope() == wire.Scope_NODE {
 		s.ownDigest, s.ownReceivedAt = d, time.Now()
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -48,6 +48,7 @@
 		return out
 	}
 	relays := m.relaysOf(others)
+	m.awaitRelays(relays, others)
 	ownRelays := relays[m.config.DataCentre]
 	for _, name := range ownRelays.receivers {
 		if name != m.config.Node {
@@ -68,7 +69,7 @@
 // relaySet holds the relays of one data centre.
 type relaySet struct {
 	active    []string
-	receivers []string // to which datagrams are sent: the active ones, and those that are replaced because they are silent
+	receivers []string // to which datagrams are sent, in order of their names; see receiversOf
 }
 
 // candidate is a node that may become a relay of its data centre.
@@ -91,8 +92,7 @@
 	})
 }
 
-// relaysOf returns the relays of each data centre: the first of its candidates, with relays that have become silent last. Two
-// relays that were cut off from each other would stay silent to each other if they were not sent datagrams any more.
+// relaysOf returns the relays of each data centre: the first of its candidates, with silent relays last.
 func (m *Mesh) relaysOf(others map[string]Node) map[string]relaySet {
 	nodes := map[string][]candidate{m.config.DataCentre: {{m.config.Node, m.config.Capacity}}}
 	for name, n := range others {
@@ -108,21 +108,20 @@
 			names = append(names, c.name)
 		}
 		count := min(relaysPerDataCentre, len(names))
-		receivers := slices.Clone(names[:count])
-		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(m.silentRank(a), m.silentRank(b)) })
-		active := names[:count]
-		for _, name := range active {
-			if !slices.Contains(receivers, name) {
-				receivers = append(receivers, name)
-			}
-		}
-		relays[dataCentre] = relaySet{active, receivers}
+		byRank := slices.Clone(names)
+		slices.SortStableFunc(byRank, func(a, b string) int { return cmp.Compare(m.silentRank(a), m.silentRank(b)) })
+		active := byRank[:count]
+		relays[dataCentre] = relaySet{active, m.receiversOf(names, active)}
 	}
 	return relays
 }
 
-// silentRank returns 1 for a node that was last seen as a relay and is silent now, else 0. The caller holds the lock.
+// silentRank returns 1 for a node that was last seen as a relay and is silent now, or that should have been heard as one and was
+// not, else 0. The caller holds the lock.
 func (m *Mesh) silentRank(name string) int {
+	if m.awaited.silent[name] {
+		return 1
+	}
 	if s := m.peers[name]; s != nil && s.latest.GetScope() != wire.Scope_NODE && time.Since(s.LastSeen) > peerTTL {
 		return 1
 	}
