Try a request in quarantine again, and end the quarantine when it is answered

Cause: a quarantine was taken for final. Deaths alone can't tell a request that crashes upstreams from a sound one that they all ran when they died of something else, and a request that is never sent is never answered. Retry-After names the time of the next trial.

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -5,19 +5,25 @@
 	"time"
 )
 
-// Completed records a complete answer to a request, or to one with a part, which clears its suspicion. It returns the
-// mark to send to the other nodes, and false if there was no suspicion, or if a request is in quarantine.
-func (r *Registry) Completed(f Fingerprint) (Mark, bool) {
+// Completed records a complete answer to a request, or to one with a part, that began at a stamp, which clears its suspicion. It returns
+// the mark to send to the other nodes, and false if there was no suspicion, or if a request was in quarantine before the answer
+// began, unless it began after all of its deaths, on trial.
+func (r *Registry) Completed(f Fingerprint, begun uint64) (Mark, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if f.IsPart() {
 		return r.acquit(f, r.stamp())
 	}
 	rec := r.records[f]
-	if rec == nil || rec.quarantineEnd.After(r.now()) {
+	switch {
+	case rec == nil:
+		return Mark{}, false
+	case !rec.quarantineEnd.After(r.now()):
+		return r.clear(f, r.stamp()), true
+	case !rec.isAnswered(f, begun):
 		return Mark{}, false
 	}
-	return r.clear(f, r.stamp()), true
+	return r.clear(f, begun), true
 }
 
 // Stamp returns a stamp of now, which orders the begin of an answer and marks.
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -42,6 +42,8 @@
 	fewestHeldAt  time.Time
 	aloneSince    time.Time // when the broader parts of its requests were acquitted
 	openLoggedAt  time.Time // of the latest log line on why it is not in quarantine
+	asked         int       // copies in quarantine that came since askedSince, from which on they may be tried
+	askedSince    time.Time
 }
 
 // quarantineEnd is when a quarantine ended, and how often it had been prolonged.
@@ -179,7 +181,7 @@
 	rec := r.records[f]
 	if rec != nil && r.updateQuarantine(f, rec, now) {
 		rec.refusedAt = now
-		return Quarantined{remaining: rec.quarantineEnd.Sub(now)}
+		return Quarantined{remaining: rec.quarantineEnd.Sub(now), untilTrial: r.untilRetrial(f, rec, now)}
 	}
 	if rec = r.records[f]; rec == nil {
 		return Clear{duplicateAt: duplicateAt}
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -73,8 +73,11 @@
 	age         time.Duration
 }
 
-// Quarantined is the verdict on a request that crashed several upstreams.
-type Quarantined struct{ remaining time.Duration }
+// Quarantined is the verdict on a request that crashed several upstreams. It runs on trial only.
+type Quarantined struct {
+	remaining  time.Duration
+	untilTrial time.Duration
+}
 
 func (Clear) verdict()       {}
 func (Suspect) verdict()     {}
@@ -98,6 +101,9 @@
 // Remaining returns the time until the quarantine ends.
 func (q Quarantined) Remaining() time.Duration { return q.remaining }
 
+// UntilTrial returns the time until a copy may run on trial, or until the quarantine ends if none may.
+func (q Quarantined) UntilTrial() time.Duration { return q.untilTrial }
+
 // Symptom is how a node noticed the death of an upstream.
 type Symptom int
 
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -20,7 +20,8 @@
 	Verdict(f crash.Fingerprint) crash.Verdict
 	RecordDeathAt(f crash.Fingerprint, upstream, dataCentre string, symptom crash.Symptom, begun, at time.Time) (crash.Mark, bool)
 	DeathOf(upstream string, since time.Time) (time.Time, bool)
-	Completed(f crash.Fingerprint) (crash.Mark, bool)
+	Completed(f crash.Fingerprint, begun uint64) (crash.Mark, bool)
+	TakeTrial(f crash.Fingerprint) bool
 	Admit(suspects []crash.Fingerprint) crash.Admission
 	RecordRunTime(ran time.Duration)
 	ReturnTrial(suspects []crash.Fingerprint)
@@ -55,26 +56,33 @@
 	return strings.Join(q.PromptParts[:min(len(q.PromptParts), maxLoggedParts)], ",")
 }
 
-// checkQuarantine returns a refusal if the request, or a part of its prompt, is in quarantine because it crashed upstreams.
-func (r *run) checkQuarantine() error {
-	if f, remaining, ok := r.quarantine(); ok {
-		return r.quarantineRefusal(f, remaining)
-	}
-	return nil
-}
-
-// quarantine returns the first suspect of the request that is in quarantine, and for how long, or false if none is.
-func (r *run) quarantine() (crash.Fingerprint, time.Duration, bool) {
+// quarantine returns the first suspect of the request that is in quarantine because it crashed upstreams, or false if none is.
+func (r *run) quarantine() (crash.Fingerprint, crash.Quarantined, bool) {
 	for _, f := range r.suspects {
 		if verdict, ok := r.executor.crashes.Verdict(f).(crash.Quarantined); ok {
-			return f, verdict.Remaining(), true
+			return f, verdict, true
 		}
 	}
-	return "", 0, false
+	return "", crash.Quarantined{}, false
+}
+
+// trialAttempt returns the first attempt at a request that is sent on trial although it is in quarantine, or nil if it may not be sent. It
+// waits for no room.
+func (r *run) trialAttempt(f crash.Fingerprint) *attempt {
+	if f != r.fingerprint || r.attempts() > 0 || r.executor.crashes.IsWithheld(r.suspects) || !r.executor.crashes.TakeTrial(f) {
+		return nil
+	}
+	res := r.tryReserve(r.excluded())
+	if res == nil {
+		r.executor.crashes.ReturnTrial([]crash.Fingerprint{f})
+		return nil
+	}
+	return r.newAttempt(res, nil)
 }
 
 // quarantineRefusal returns the refusal of a request for a suspect in quarantine.
-func (r *run) quarantineRefusal(f crash.Fingerprint, remaining time.Duration) error {
+func (r *run) quarantineRefusal(f crash.Fingerprint, verdict crash.Quarantined) error {
+	remaining := verdict.Remaining()
 	r.executor.meter.Count("requests-quarantined")
 	cause := "upstreams died of copies of this request"
 	if f != r.fingerprint {
@@ -83,7 +91,7 @@
 	err := r.failure(cause+"; quarantined for "+remaining.Round(time.Second).String(), http.StatusBadGateway)
 	var refusal *Refusal
 	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
-		refusal.RetryAfter = remaining
+		refusal.RetryAfter = verdict.UntilTrial()
 	}
 	r.executor.log.Info("request-quarantined", "request", r.request.ID, "suspect", string(f),
 		"remaining-ms", remaining.Milliseconds(), "attempts", r.attempts())
@@ -155,10 +163,15 @@
 // clearSuspicion clears the suspicion of a request that was answered, and of its parts if an upstream wrote the answer
 // to its end.
 func (r *run) clearSuspicion(a *attempt) {
-	if m, ok := r.executor.crashes.Completed(r.fingerprint); ok {
+	wroteAll := a.wroteAnswer && !a.isResumed && r.request.LastEventID == "" // an attempt that wrote the end alone shows little
+	begun := uint64(0)
+	if wroteAll {
+		begun = a.begunStamp
+	}
+	if m, ok := r.executor.crashes.Completed(r.fingerprint, begun); ok {
 		r.executor.broadcast(m)
 	}
-	if !a.wroteAnswer || a.isResumed || r.request.LastEventID != "" { // an attempt that wrote the end alone shows little
+	if !wroteAll {
 		return
 	}
 	for _, m := range r.executor.crashes.Answered(r.suspects[:len(r.suspects)-1], a.begunStamp, time.Since(a.startedAt)) {
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -158,16 +158,19 @@
 		}
 		return a, nil
 	}
-	if err := r.checkQuarantine(); err != nil {
-		return nil, err
+	if f, verdict, ok := r.quarantine(); ok {
+		if a := r.trialAttempt(f); a != nil {
+			return a, nil
+		}
+		return nil, r.quarantineRefusal(f, verdict)
 	}
 	res, err := r.reserve(r.ctx)
 	if err != nil {
 		return nil, err
 	}
-	if err := r.checkQuarantine(); err != nil { // it may have begun during the wait
+	if f, verdict, ok := r.quarantine(); ok { // it may have begun during the wait
 		res.Cancel()
-		return nil, err
+		return nil, r.quarantineRefusal(f, verdict)
 	}
 	return r.newAttempt(res, nil), nil
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -166,7 +166,7 @@
 	if isWhole {
 		marks = rs.relay.crashes.Answered(rs.request.parts, begun, took)
 	}
-	if m, ok := rs.relay.crashes.Completed(rs.request.fingerprint); ok {
+	if m, ok := rs.relay.crashes.Completed(rs.request.fingerprint, begun); ok {
 		marks = append(marks, m)
 	}
 	for _, m := range marks {
