Take over a lease whose row can't be read

A row of the lease that another program had overwritten was read again and again by all candidates and never replaced, so that nobody planned any more. It now counts as a lease of somebody unknown, which is taken over after a term. TestUnreadableLeaseIsTakenOver failed before.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -134,7 +134,8 @@
 	}
 	var current row
 	if r.Version > 0 && json.Unmarshal(r.Value, &current) != nil {
-		return
+		// Another program wrote it. Each fencing token was a write of the row, so that its version is no lower.
+		current = row{FencingToken: r.Version}
 	}
 	isEligible := l.isEligible()
 	if current.Holder == l.holder && l.isOwn(current) {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -157,6 +157,36 @@
 	})
 }
 
+// TestUnreadableLeaseIsTakenOver guards against a row that another program has overwritten, after which nobody held the lease any more.
+func TestUnreadableLeaseIsTakenOver(t *testing.T) {
+	for _, text := range []string{"", "[]", `{"number":"x"}`, `{"number":-1}`, "\xff"} {
+		synctest.Test(t, func(t *testing.T) {
+			table := fake.NewTable()
+			l := lease.New(table, "capacity", "holder", term)
+			l.Step(t.Context())
+			before, _ := l.Valid()
+			row, err := table.Get(t.Context(), "lease/capacity")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := table.Commit(t.Context(), store.Change{Key: row.Key, Value: []byte(text), Version: row.Version}); err != nil {
+				t.Fatal(err)
+			}
+			for range 2 {
+				l.Step(t.Context())
+				if _, isHeld := l.Valid(); isHeld {
+					t.Errorf("%q: the lease is held within a term", text)
+				}
+				time.Sleep(term / 2)
+			}
+			l.Step(t.Context())
+			if token, isHeld := l.Valid(); !isHeld || token <= before {
+				t.Errorf("%q: token %d after a term, want one above %d", text, token, before)
+			}
+		})
+	}
+}
+
 // TestIneligibleHolderLetsGo checks that a candidate which can't do the duty neither acts, nor keeps the lease from others,
 // nor takes it over.
 func TestIneligibleHolderLetsGo(t *testing.T) {
