--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -6,8 +6,8 @@
 )
 
 // Completed records a complete answer to a request, or to one with a part, that began at a stamp, which clears its suspicion. It returns
-// the mark to send to the other nodes, and false if there was no suspicion, or if a request was in quarantine before the answer
-// began, unless it began after all of its deaths, on trial.
+// the mark to send to the other nodes, and false if there was no suspicion, or if a request is in quarantine and the answer did not
+// begin after all of its deaths.
 func (r *Registry) Completed(f Fingerprint, begun uint64) (Mark, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -42,8 +42,8 @@
 	fewestHeldAt  time.Time
 	aloneSince    time.Time // when the broader parts of its requests were acquitted
 	openLoggedAt  time.Time // of the latest log line on why it is not in quarantine
-	asked         int       // copies in quarantine that came since askedSince, from which on they may be tried
-	askedSince    time.Time
+	asked         int       // copies of a request in quarantine that came since askedSince
+	askedSince    time.Time // from which on they may be tried
 }
 
 // quarantineEnd is when a quarantine ended, and how often it had been prolonged.
--- a/core/crash/retrial.go
+++ b/core/crash/retrial.go
@@ -20,11 +20,11 @@
 	if f.IsPart() || !rec.quarantineEnd.After(now) {
 		return retrials{}, false
 	}
-	begun := rec.quarantineEnd.Add(-r.quarantine * time.Duration(1+rec.prolonged))
+	quarantinedAt := rec.quarantineEnd.Add(-r.quarantine * time.Duration(1+rec.prolonged))
 	pause, longest := retrialPause, time.Duration(0)
 	for _, d := range rec.deaths {
 		m := d.marks[f]
-		if m.begunAt().After(begun.Add(trialGrace)) {
+		if m.begunAt().After(quarantinedAt.Add(trialGrace)) {
 			pause = min(pause*retrialBackoff, suspicionTime)
 		}
 		longest = max(longest, m.Ran.Truncate(time.Millisecond)) // as nodes tell it each other
