Lift the time limit on writing a short request before a long one

A request over 16 KiB on a connection on which a short one had been written more than 5 s before could not be sent and waited for its deadline: the write deadline of the short one stayed in force. TestLongRequestOnAnOldConnectionIsSent failed before.

--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -319,3 +319,32 @@
 		t.Errorf("%d idle and %d open connections are left", len(p.idle), len(p.open))
 	}
 }
+
+// TestLongRequestOnAnOldConnectionIsSent guards against the time limit on writing a short request, which stayed in force on its
+// connection, so that a long one could not be sent there later.
+func TestLongRequestOnAnOldConnectionIsSent(t *testing.T) {
+	s := serve(t, func(n int64) (string, bool) { return answerTo(itoa(int(n)), "x"), false })
+	p := newPool()
+	if _, err := do(t, p, s.call("1")); err != nil {
+		t.Fatal(err)
+	}
+	long := s.call("2")
+	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 2*maxInlineBytes))
+	for _, list := range p.idle {
+		for _, c := range list {
+			if err := c.SetWriteDeadline(time.Now().Add(-time.Second)); err != nil { // as it is after writeTimeout
+				t.Fatal(err)
+			}
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), writeTimeout)
+	defer cancel()
+	resp, err := p.Do(ctx, long)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -257,7 +257,8 @@
 			return nil, err
 		}
 	} else {
-		// A long request is written concurrently, as an upstream may answer before it has read the whole body.
+		// A long request is written concurrently, as an upstream may answer before it has read the whole body. Its context bounds it.
+		_ = x.conn.SetWriteDeadline(time.Time{})
 		go func() {
 			_, err := x.conn.Write(raw)
 			x.written <- err
