Take no row of a quarantine for a death of its own time

In the logs the pause until the first trial jumped from 1.5 s to ten minutes when the row of the quarantine was read: its marks have no age, so that the known deaths were moved to that moment, half a second and more after the quarantine began, and counted as deaths on trial. Rows read later than 2 s after the deaths added deaths that never were.

A mark is now matched with a known death by its stamp first, or where it comes from a row by its upstream; a known death keeps its earliest time, and a mark that does not say how long its request had run changes nothing of that.

TestRowOfAQuarantineTellsNoTime failed before in three of six cases.

--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -41,6 +41,11 @@
 func (r *Registry) ApplyMark(m Mark) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.applyMark(m)
+}
+
+// applyMark is ApplyMark for a caller that holds the lock.
+func (r *Registry) applyMark(m Mark) {
 	if m.Cleared {
 		r.applyClearance(m)
 		return
@@ -57,6 +62,21 @@
 	r.mark(m, "gossip")
 }
 
+// ApplyStored applies a mark from a row of the store, which tells no age: a death of its upstream under the same suspect that is known
+// already is taken for the one that it tells of.
+func (r *Registry) ApplyStored(m Mark) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.records[m.Fingerprint]; rec != nil {
+		for _, d := range rec.deaths {
+			if d.upstream == m.Upstream {
+				m.Age = r.now().Sub(d.marks[m.Fingerprint].at)
+			}
+		}
+	}
+	r.applyMark(m)
+}
+
 // isRepeated reports whether a mark or a later one of the same death was seen before. A mark that was not applied counts
 // as new once another node has the request in quarantine.
 func (r *Registry) isRepeated(m Mark) bool {
@@ -66,7 +86,7 @@
 	if !m.Quarantined {
 		return true
 	}
-	d := r.findDeath(m.Upstream, r.now().Add(-m.Age))
+	d := r.deathOf(m, r.now().Add(-m.Age))
 	if d == nil {
 		return false
 	}
@@ -83,7 +103,7 @@
 	if ended := r.ended[m.Fingerprint]; !at.After(ended.at) && m.Prolonged <= ended.prolonged {
 		return false
 	}
-	d := r.findDeath(m.Upstream, at)
+	d := r.deathOf(m, at)
 	if d == nil {
 		d = &death{upstream: m.Upstream, dataCentre: m.DataCentre, at: at, marks: make(map[Fingerprint]deathMark)}
 		r.expire(now)
@@ -96,7 +116,10 @@
 	}
 	known, isKnown := d.marks[m.Fingerprint]
 	if isKnown {
-		m.Ran = min(m.Ran, known.Ran) // the request that was sent last tells the most
+		at = earliest(at, known.at) // a mark is late by its way, and one of the store's rows has no age
+		if m.Ran == 0 || known.Ran > 0 && known.Ran < m.Ran {
+			m.Ran = known.Ran // the request that was sent last tells the most
+		}
 	} else {
 		rec.deaths = append(rec.deaths, d)
 	}
@@ -120,6 +143,17 @@
 	return isBlamed
 }
 
+// deathOf returns the death at a time that a mark tells of, or nil if it is not known. The age of a mark may be wrong, but its stamp
+// is that of no other death.
+func (r *Registry) deathOf(m Mark, at time.Time) *death {
+	for _, d := range r.deaths {
+		if known, ok := d.marks[m.Fingerprint]; ok && d.upstream == m.Upstream && known.Stamp == m.Stamp {
+			return d
+		}
+	}
+	return r.findDeath(m.Upstream, at)
+}
+
 // findDeath returns the death of an upstream at about a time, or nil.
 func (r *Registry) findDeath(upstream string, at time.Time) *death {
 	for _, d := range r.deaths {
--- a/core/crash/retrial_test.go
+++ b/core/crash/retrial_test.go
@@ -178,3 +178,52 @@
 func (q *quarantineNodes) after(d time.Duration, run func()) {
 	heap.Push(&q.events, event{q.now.Add(d), run})
 }
+
+// TestRowOfAQuarantineTellsNoTime guards against rows of the store, whose marks have no age: their deaths counted as later ones, on trial, so
+// that the request was not tried for ten minutes. A row may be read before or after other nodes tell of the same deaths.
+func TestRowOfAQuarantineTellsNoTime(t *testing.T) {
+	const bound = 5 * time.Second // since the row was read
+	for _, tc := range []struct {
+		name               string
+		age                time.Duration // of the deaths when the row is read
+		isOwn, isRowBefore bool
+	}{
+		{"own deaths, soon", time.Second, true, false}, {"own deaths, late", 10 * time.Second, true, false},
+		{"after others told, soon", time.Second, false, false}, {"after others told, late", 10 * time.Second, false, false},
+		{"before others tell, soon", time.Second, false, true}, {"before others tell, late", 10 * time.Second, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := newQuarantineNodes(2)
+			from, r := q.registries[0], q.registries[1]
+			if tc.isOwn {
+				r = from
+			}
+			for range 2 {
+				q.die(from, 20*time.Millisecond)
+			}
+			q.now = q.now.Add(tc.age)
+			told := from.Evidence()
+			readRow := func() {
+				for _, m := range told {
+					m.Age, m.Ran, m.Quarantined = 0, 0, true
+					r.ApplyStored(m)
+				}
+			}
+			if tc.isRowBefore {
+				readRow()
+			}
+			for _, m := range told {
+				r.ApplyMark(m)
+			}
+			if !tc.isRowBefore {
+				readRow()
+			}
+			for start := q.now; q.now.Sub(start) < bound; q.now = q.now.Add(10 * time.Millisecond) {
+				if _, ok := r.Verdict("f").(crash.Quarantined); ok && r.TakeTrial("f") {
+					return
+				}
+			}
+			t.Errorf("not tried within %v", bound)
+		})
+	}
+}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -155,6 +155,12 @@
 	m.Registry.ApplyMark(mark)
 }
 
+// ApplyStored applies a mark from a row of the store.
+func (m *crashMarks) ApplyStored(mark crash.Mark) {
+	m.clock.Observe(event.Stamp(mark.Stamp))
+	m.Registry.ApplyStored(mark)
+}
+
 // storeState returns the store's data that this node has.
 func (n *Node) storeState() mesh.StoreState {
 	// In this order: the data hold at least what the words cover.
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -69,7 +69,7 @@
 	}
 	for _, m := range q.Marks {
 		m.Fingerprint, m.Cleared, m.Quarantined = f, false, true
-		c.node.crashes.ApplyMark(m)
+		c.node.crashes.ApplyStored(m)
 	}
 	return true
 }
