--- a/core/crash/retrial.go
+++ b/core/crash/retrial.go
@@ -57,8 +57,6 @@
 		return false
 	}
 	rec.trialAt = now
-	r.log.Info("request-trial", "fingerprint", string(f), "deaths", len(rec.deaths), "turn", number, "since-death-ms",
-		now.Sub(rec.latestDeath(f)).Milliseconds())
 	return true
 }
 
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -68,7 +68,7 @@
 
 // trialAttempt returns the first attempt at a request that is sent on trial although it is in quarantine, or nil if it may not be sent. It
 // waits for no room.
-func (r *run) trialAttempt(f crash.Fingerprint) *attempt {
+func (r *run) trialAttempt(f crash.Fingerprint, verdict crash.Quarantined) *attempt {
 	if f != r.fingerprint || r.attempts() > 0 || r.executor.crashes.IsWithheld(r.suspects) || !r.executor.crashes.TakeTrial(f) {
 		return nil
 	}
@@ -77,6 +77,8 @@
 		r.executor.crashes.ReturnTrial([]crash.Fingerprint{f})
 		return nil
 	}
+	r.executor.log.Info("request-trial", "request", r.request.ID, "fingerprint", string(f), "upstream", res.Upstream.ID,
+		"remaining-ms", verdict.Remaining().Milliseconds())
 	return r.newAttempt(res, nil)
 }
 
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -159,7 +159,7 @@
 		return a, nil
 	}
 	if f, verdict, ok := r.quarantine(); ok {
-		if a := r.trialAttempt(f); a != nil {
+		if a := r.trialAttempt(f, verdict); a != nil {
 			return a, nil
 		}
 		return nil, r.quarantineRefusal(f, verdict)
