--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -22,7 +22,7 @@
 		Fingerprint: f, Upstream: upstream, DataCentre: dataCentre, Stamp: r.stamp(), Symptom: symptom, Age: r.now().Sub(at),
 		Ran: max(0, at.Sub(begun)),
 	}
-	return m, r.mark(m, "own")
+	return m, r.mark(m, ownMark)
 }
 
 // DeathOf returns when an upstream that has been running since a time died, and false if that is not known.
@@ -41,11 +41,11 @@
 func (r *Registry) ApplyMark(m Mark) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.applyMark(m)
+	r.applyMark(m, gossipMark)
 }
 
-// applyMark is ApplyMark for a caller that holds the lock.
-func (r *Registry) applyMark(m Mark) {
+// applyMark applies a mark of a source other than this node. The caller holds the lock.
+func (r *Registry) applyMark(m Mark, source string) {
 	if m.Cleared {
 		r.applyClearance(m)
 		return
@@ -59,7 +59,7 @@
 	if r.isRepeated(m) {
 		return
 	}
-	r.mark(m, "gossip")
+	r.mark(m, source)
 }
 
 // ApplyStored applies a mark from a row of the store, which tells no age: a death of its upstream under the same suspect that is known
@@ -70,11 +70,12 @@
 	if rec := r.records[m.Fingerprint]; rec != nil {
 		for _, d := range rec.deaths {
 			if d.upstream == m.Upstream {
-				m.Age = r.now().Sub(d.marks[m.Fingerprint].at)
+				known := d.marks[m.Fingerprint]
+				m.Age, m.Ran = r.now().Sub(known.at), known.Ran
 			}
 		}
 	}
-	r.applyMark(m)
+	r.applyMark(m, storedMark)
 }
 
 // isRepeated reports whether a mark or a later one of the same death was seen before. A mark that was not applied counts
@@ -94,6 +95,13 @@
 	return ok && known.Quarantined && m.Prolonged <= known.Prolonged
 }
 
+// The sources of marks, as logs name them.
+const (
+	ownMark    = "own"
+	gossipMark = "gossip"
+	storedMark = "store"
+)
+
 // mark applies m and reports whether the death speaks against its suspect, that is, is not part of a correlated failure.
 // The source of the mark is logged.
 func (r *Registry) mark(m Mark, source string) bool {
@@ -115,15 +123,15 @@
 		r.records[m.Fingerprint] = rec
 	}
 	known, isKnown := d.marks[m.Fingerprint]
-	if isKnown {
-		at = earliest(at, known.at) // a mark is late by its way, and one of the store's rows has no age
-		if m.Ran == 0 || known.Ran > 0 && known.Ran < m.Ran {
-			m.Ran = known.Ran // the request that was sent last tells the most
-		}
-	} else {
+	switch {
+	case !isKnown:
 		rec.deaths = append(rec.deaths, d)
+	case known.isStored:
+		d.at = earliest(d.at, at)
+	default:
+		m.Ran = min(m.Ran, known.Ran) // the request that was sent last tells the most
 	}
-	d.marks[m.Fingerprint] = deathMark{m, at}
+	d.marks[m.Fingerprint] = deathMark{Mark: m, at: at, isStored: source == storedMark && (!isKnown || known.isStored)}
 	rec.weigh(m.Fingerprint)
 	r.prolong(m.Fingerprint, rec, m.Prolonged)
 	if c := r.usage.get(m.Fingerprint).soundEnd; c.stamp > r.cleared[m.Fingerprint].stamp && now.Sub(c.at) < trustTime {
@@ -143,11 +151,11 @@
 	return isBlamed
 }
 
-// deathOf returns the death at a time that a mark tells of, or nil if it is not known. The age of a mark may be wrong, but its stamp
-// is that of no other death.
+// deathOf returns the death at a time that a mark tells of, or nil if it is not known. One that is known from a row alone, and so not
+// when it was, is found by the stamp.
 func (r *Registry) deathOf(m Mark, at time.Time) *death {
 	for _, d := range r.deaths {
-		if known, ok := d.marks[m.Fingerprint]; ok && d.upstream == m.Upstream && known.Stamp == m.Stamp {
+		if known, ok := d.marks[m.Fingerprint]; ok && known.isStored && d.upstream == m.Upstream && known.Stamp == m.Stamp {
 			return d
 		}
 	}
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -63,7 +63,8 @@
 // deathMark is a mark and the time of the death by it.
 type deathMark struct {
 	Mark
-	at time.Time
+	at       time.Time
+	isStored bool // it is known from a row of the store alone, read at that time
 }
 
 // begunAt returns when the request was sent, the last one if there were several.
