Excuse shared failures of upstreams, and keep trials of parts apart

Cause: trials of the last withheld parts met at one upstream, so that the crashing one broke off the answer that would acquit the sound one; requests asked anew in an outage of a whole service were condemned by number.

Change: deaths of one failure excuse requests that are sent again within it; trials of two and three parts don't meet; what a node keeps of marks and clearances is bounded.

--- a/core/crash/clearance.go
+++ b/core/crash/clearance.go
@@ -90,6 +90,7 @@
 		return
 	}
 	r.log.Info("crash-cleared", "fingerprint", string(m.Fingerprint), "stamp", m.Stamp, "age-ms", m.Age.Milliseconds())
+	dropOlder(r.cleared, maxCleared, func(c clearance) time.Time { return c.at })
 	r.cleared[m.Fingerprint] = clearance{stamp: m.Stamp, at: now.Add(-m.Age)}
 	if rec := r.records[m.Fingerprint]; rec != nil {
 		r.dropMarks(m.Fingerprint, rec, func(d deathMark) bool { return d.Stamp < m.Stamp })
--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -111,6 +111,9 @@
 	if ended := r.ended[m.Fingerprint]; !at.After(ended.at) && m.Prolonged <= ended.prolonged {
 		return false
 	}
+	if r.records[m.Fingerprint] == nil && len(r.records) >= maxRecords {
+		r.expire(now) // also one death may have any number of suspects
+	}
 	d := r.deathOf(m, at)
 	if d == nil {
 		d = &death{upstream: m.Upstream, dataCentre: m.DataCentre, at: at, marks: make(map[Fingerprint]deathMark)}
@@ -208,6 +211,7 @@
 			}
 		}
 	}
+	dropOlder(r.seen, maxSeen, func(s seenMark) time.Time { return s.at })
 	r.seen[deathID{m.Fingerprint, m.Upstream}] = seenMark{m.Stamp, now}
 }
 
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -102,7 +102,10 @@
 	var times []time.Time // of the deaths that nothing else explains
 	for _, d := range rec.deaths {
 		m := d.marks[f]
-		if now.Sub(m.at) >= r.settleTime && !r.isCorrelatedFailure(f, d) && (hasTurned || !r.isExplained(f, rec, d) && !r.hasCondemned(f, d, now)) {
+		if now.Sub(m.at) < r.settleTime || r.isCorrelatedFailure(f, d) || r.isOneFailure(f, rec, d) {
+			continue
+		}
+		if hasTurned || !r.isExplained(f, rec, d) && !r.hasCondemned(f, d, now) {
 			times = append(times, m.at)
 		}
 	}
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -38,6 +38,12 @@
 	turnShare = 2
 	// maxPartGroups is the number of groups of parts that are tried one after the other.
 	maxPartGroups = 8
+	// singleParts is the number of parts up to which each is tried in turns of its own, if these last at most longestSingleTurn. Trials
+	// of several parts in one turn often meet at the upstream with the most room, where the crashing one breaks off the others'
+	// answers: nothing then acquits these, and they are at as many deaths on trial.
+	singleParts = 3
+	// longestSingleTurn keeps three turns below the 8 s after the fifth crash within which sound requests have to be served again.
+	longestSingleTurn = 2 * time.Second
 	// answerTimeDecay is the number of answers over which their time is averaged.
 	answerTimeDecay = 64
 	// fewestTTL is for how long it counts that a part was seen in a request with few withheld parts.
@@ -328,13 +334,17 @@
 }
 
 // turnLength returns how long a turn is, and among how many groups of parts the turns go round. It is doubled until it covers an
-// answer, so that nodes whose answers take about as long agree.
+// answer, so that nodes whose answers take about as long agree. With longer turns there are fewer groups, so that no part waits long
+// for its turn, but where few parts are left each is one unless turns are very long.
 func (r *Registry) turnLength(parts int) (length time.Duration, groups int) {
 	length, groups = noticeTime+r.settleTime, min(parts, maxPartGroups)
 	for length < r.outcomeTime {
 		length *= 2
 		groups /= 2
 	}
+	if parts <= singleParts && length <= longestSingleTurn {
+		groups = parts
+	}
 	return length, max(1, groups)
 }
 
