Admit, route and place by class and demand; explain the decision

Cause: the board gave the last room to whoever asked, and nothing looked at the pauses that one more stream causes.

Change: core/board reserves room by class and by pauses; core/proxy queues and refuses by level and keeps what it needs to explain a decision; core/place balances ranges by demand. In force only in the scope of admission control; elsewhere the code path stays.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -69,6 +69,7 @@
 type Board struct {
 	mu            sync.Mutex
 	now           func() time.Time
+	source        *rand.PCG // of random
 	random        *rand.Rand
 	states        map[Key]*upstreamState
 	peers         map[string]peerGossip
@@ -86,6 +87,9 @@
 	viewAge       time.Duration       // of the claims in gossip when it arrives
 	gossipAt      time.Time           // when the latest gossip arrived
 	isOwnFault    func() bool         // this node, rather than an upstream, may be at fault for a failure
+	onFreed       func()              // called when capacity may have become free; b.mu is held
+	isSnapshot    bool                // a copy on which a decision is tried: it starts no timers
+	onChoice      func(Choice)        // called with each path that is reserved, nil for none; b.mu is held
 }
 
 // Option configures a Board.
@@ -96,7 +100,7 @@
 
 // WithSeed seeds the random choices, so that they can be repeated.
 func WithSeed(seed uint64) Option {
-	return func(b *Board) { b.random = rand.New(rand.NewPCG(seed, seed)) }
+	return func(b *Board) { b.source = rand.NewPCG(seed, seed) }
 }
 
 // WithDataCentre sets the node's own data centre, which never counts as unreachable.
@@ -112,22 +116,27 @@
 // and say nothing about a data centre.
 func WithOwnFault(f func() bool) Option { return func(b *Board) { b.isOwnFault = f } }
 
+// WithOnFreed sets a function that is called when capacity may have become free, here or by what other nodes report. It must not
+// call the board.
+func WithOnFreed(f func()) Option { return func(b *Board) { b.onFreed = f } }
+
 // New returns an empty board.
 func New(opts ...Option) *Board {
 	b := &Board{
 		now:           time.Now,
-		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		source:        rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		states:        make(map[Key]*upstreamState),
 		peers:         make(map[string]peerGossip),
 		capacityFreed: make(chan struct{}),
 		partitions:    make(map[string]*partition),
 		doubtsChanged: make(chan struct{}, 1),
 		nodes:         1, linkBudgets: make(map[Key]*linkBudget),
-		log: logr.Discard(), sharers: &pacer.Sharers{}, isOwnFault: func() bool { return false },
+		log: logr.Discard(), sharers: &pacer.Sharers{}, isOwnFault: func() bool { return false }, onFreed: func() {},
 	}
 	for _, o := range opts {
 		o(b)
 	}
+	b.random = rand.New(b.source)
 	return b
 }
 
@@ -167,6 +176,7 @@
 func (b *Board) wakeWaiters() {
 	close(b.capacityFreed)
 	b.capacityFreed = make(chan struct{})
+	b.onFreed()
 }
 
 // state returns the state of a key, which it creates if there is none.
--- a/core/board/gossip.go
+++ b/core/board/gossip.go
@@ -86,6 +86,7 @@
 func (b *Board) ApplyGossip(g Gossip) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.onFreed()
 	b.gossipAt = b.now()
 	b.peers[g.Node] = peerGossip{g, b.gossipAt}
 	byHash := make(map[uint32]*upstreamState, len(b.states))
--- a/core/board/limit.go
+++ b/core/board/limit.go
@@ -95,6 +95,9 @@
 
 // wakeIn wakes the requests that wait for capacity after some time, unless a timer will wake them before.
 func (b *Board) wakeIn(wait time.Duration) {
+	if b.isSnapshot {
+		return
+	}
 	wait = max(wait, minWake)
 	at := b.now().Add(wait)
 	if b.wakeTimer != nil {
--- a/core/board/link.go
+++ b/core/board/link.go
@@ -15,14 +15,50 @@
 	linkPromptShare  = 0.5
 	linkGapShare     = 0.4 // share of the objective for the time between events that may be spent queued on a link
 	linkBurstSeconds = 0.2 // seconds of its share of a link that a node may use in one burst
+	linkSteps        = 10  // steps of Need.LinkShare
 )
 
-// linkBudget is a token bucket of this node's transfer time on the link between two data centres.
+// linkBudget is a token bucket of this node's transfer time on the link between two data centres. Parts of it bound what the
+// requests with at most some share of it use together, so that the rest is left to those with a larger one. A part of the bucket
+// that is only kept filled would not do: with many nodes the whole bucket holds less than one prompt.
 type linkBudget struct {
-	remainingSeconds float64 // transfer time left, negative after an overdraft
+	// remainingSeconds is the transfer time left, negative after an overdraft, by step of the share; the last is the whole budget.
+	remainingSeconds [linkSteps]float64
 	refilledAt       time.Time
 }
 
+// linkStep returns the step of a share of a link budget, of which 0 is the whole.
+func linkStep(share float64) int {
+	const rounding = 1e-9
+	if share <= 0 || share >= 1 {
+		return linkSteps - 1
+	}
+	return max(0, int(share*linkSteps+rounding)-1)
+}
+
+// isOpen reports whether a request with a share may use the budget.
+func (l *linkBudget) isOpen(share float64) bool {
+	return !slices.ContainsFunc(l.remainingSeconds[linkStep(share):], func(s float64) bool { return s <= 0 })
+}
+
+// charge charges a transfer time to the budget of requests with a share.
+func (l *linkBudget) charge(share, seconds float64) {
+	for i := linkStep(share); i < linkSteps; i++ {
+		l.remainingSeconds[i] -= seconds
+	}
+}
+
+// refill adds a time at a rate, up to a burst.
+func (l *linkBudget) refill(rate, seconds float64) {
+	for i := range l.remainingSeconds {
+		part := rate
+		if i < linkSteps-1 {
+			part *= float64(i+1) / linkSteps
+		}
+		l.remainingSeconds[i] = min(linkBurstSeconds*part, l.remainingSeconds[i]+part*seconds)
+	}
+}
+
 // linkKey returns the key under which the load of the link between two data centres is kept and gossiped.
 func linkKey(a, b string) Key {
 	if a > b {
@@ -65,7 +101,7 @@
 	if !crosses(from, to) || to == "" {
 		return linkState{}
 	}
-	return linkState{crosses: true, closed: !b.mayCross(n, from, to), queueTime: b.linkWait(n.Engine, from, to)}
+	return linkState{crosses: true, closed: !n.overLinks && !b.mayCross(n, from, to), queueTime: b.linkWait(n.Engine, from, to)}
 }
 
 // crosses reports whether a step of a path leads to another data centre; from is "" for the first stage.
@@ -79,7 +115,7 @@
 	}
 	budget := b.linkBudgetOf(linkKey(from, to))
 	wait := b.linkWait(n.Engine, from, to)
-	return budget.remainingSeconds > 0 && (wait == 0 || float64(wait+transit) <= linkGapShare*float64(n.EventGap))
+	return budget.isOpen(n.LinkShare) && (wait == 0 || float64(wait+transit) <= linkGapShare*float64(n.EventGap))
 }
 
 // linkBudgetOf returns this node's budget on a link after refilling it. An overdraft by a large prompt is refilled
@@ -88,11 +124,11 @@
 	budget, now := b.linkBudgets[k], b.now()
 	rate := linkPromptShare / float64(b.nodes)
 	if budget == nil {
-		budget = &linkBudget{remainingSeconds: linkBurstSeconds * rate, refilledAt: now}
+		budget = &linkBudget{refilledAt: now}
+		budget.refill(rate, linkBurstSeconds)
 		b.linkBudgets[k] = budget
 	}
-	budget.remainingSeconds = min(linkBurstSeconds*rate,
-		budget.remainingSeconds+rate*now.Sub(budget.refilledAt).Seconds())
+	budget.refill(rate, now.Sub(budget.refilledAt).Seconds())
 	budget.refilledAt = now
 	return budget
 }
@@ -105,7 +141,7 @@
 			continue
 		}
 		k := linkKey(from, to)
-		r.board.linkBudgetOf(k).remainingSeconds -= transferTime(e, r.promptTokens).Seconds()
+		r.board.linkBudgetOf(k).charge(r.linkShare, transferTime(e, r.promptTokens).Seconds())
 		r.crossedLinks = append(r.crossedLinks, k)
 		s := r.board.state(k)
 		s.inFlight++
--- a/core/board/path.go
+++ b/core/board/path.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,12 +19,25 @@
 	HasConnection   func(*fleet.Upstream) bool // reports whether an idle connection to it is open; nil if unknown
 	FirstEventLimit time.Duration              // a path with a later predicted first event is rejected; 0 for no limit
 	EventGap        time.Duration              // objective for the time between events; 0 for none
+	PipelinedLimit  time.Duration              // a path with a longer Estimate.Pipelined is rejected; 0 for no limit
+	// EventGapLimit rejects a path with a longer predicted time between events, unless it is nearly idle; 0 for no limit.
+	EventGapLimit time.Duration
+	overLinks     bool    // links between data centres are taken for free, to find out whether they are what lacks
+	KVShare       float64 // share of an upstream's KV cache that may be reserved; 0 for reservableShare
+	LinkShare     float64 // share of the node's budget on a link between data centres that may be used; 0 for all
 }
 
+// kvShare returns the share of an upstream's KV cache that may be reserved.
+func (n *Need) kvShare() float64 { return cmp.Or(n.KVShare, reservableShare) }
+
 // Estimate holds the predicted latencies of a generation on a path.
 type Estimate struct {
-	FirstEvent time.Duration // time to the first event
+	FirstEvent time.Duration // time to the first event, if all prompts queue at each stage
 	EventGap   time.Duration // time between events
+	// Pipelined is the time to the first event if the stages work at the same time: a prompt waits for those ahead at the stage
+	// with the longest queue only, as the others work theirs off meanwhile.
+	Pipelined time.Duration
+	slowest   *fleet.Upstream // of the stages, which adds most to the time between events
 }
 
 // Parameters of the choice of a path. Costs are added to the predicted time; those for all layers are scaled by the
@@ -52,22 +66,23 @@
 	return fleetRate * e.ViewAge.Seconds() * e.othersShare
 }
 
-// ReservePath reserves the path with the least cost that has capacity on each stage, or returns nil if there is none.
+// ReservePath reserves the path with the least cost that has capacity on each stage, or returns nil if there is none. Where the time
+// between events is limited, and the cheapest path is beyond a limit, the cheapest one around its slowest stage is taken.
 // The stages run each layer once and in order, each on an upstream that holds its layers. Ejected upstreams are used
 // only where there is no path without them.
 func (b *Board) ReservePath(list []*fleet.Upstream, n *Need) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p, hops := b.searchWhole(list, n)
-	if hops == nil {
-		return nil
-	}
-	expected := b.estimate(n, hops)
-	if n.FirstEventLimit > 0 && expected.FirstEvent > n.FirstEventLimit {
+	f := b.find(list, n)
+	hops, expected := f.hops, f.expected
+	if hops == nil || !b.isWithin(n, hops, expected) {
 		return nil
 	}
 	r := &Reservation{board: b, Upstream: hops[0].Upstream, hops: hops, tokens: n.PromptTokens + n.OutputTokens,
-		promptTokens: n.PromptTokens, modelLayers: n.Engine.Layers, Expected: expected, Evidence: b.evidenceOf(p)}
+		promptTokens: n.PromptTokens, modelLayers: n.Engine.Layers, linkShare: n.LinkShare, Expected: expected, Evidence: b.evidenceOf(f.search)}
+	if b.onChoice != nil {
+		b.onChoice(b.choiceOf(n, f))
+	}
 	for _, h := range hops {
 		b.addReservation(r, h, 1)
 		r.addPrefill(h, 1)
@@ -75,12 +90,56 @@
 	}
 	r.prefillHops = slices.Clone(hops)
 	r.startCrossing(n.Engine, hops, hops)
-	first := b.state(KeyOf(r.Upstream))
-	first.firstStage++
-	first.limit.Spend()
+	s := b.state(KeyOf(r.Upstream))
+	s.firstStage++
+	s.limit.Spend()
 	return r
 }
 
+// found is the result of the searches for one request.
+type found struct {
+	search   *pathSearch
+	hops     []Hop // nil if there is no path
+	expected Estimate
+}
+
+// find searches the path for a request, which may be beyond its limits.
+func (b *Board) find(list []*fleet.Upstream, n *Need) found {
+	p, hops := b.searchWhole(list, n)
+	expected := b.estimate(n, hops)
+	if hops != nil && !b.isWithin(n, hops, expected) && n.EventGapLimit > 0 {
+		around := *n
+		around.Exclude = append(slices.Clone(n.Exclude), expected.slowest.ID)
+		p, hops = b.searchWhole(list, &around)
+		expected = b.estimate(n, hops)
+	}
+	return found{p, hops, expected}
+}
+
+// isWithin reports whether a path meets the limits.
+func (b *Board) isWithin(n *Need, hops []Hop, expected Estimate) bool {
+	return !exceeds(expected.FirstEvent, n.FirstEventLimit) && !exceeds(expected.Pipelined, n.PipelinedLimit) &&
+		!b.wouldDelayEvents(n, hops, expected)
+}
+
+// exceeds reports whether a predicted time is beyond a limit, of which 0 is none.
+func exceeds(d, limit time.Duration) bool { return limit > 0 && d > limit }
+
+// minBusyRequests is the number of requests on a stage from which on the limit on the time between events holds. With fewer, the
+// upstreams are slow rather than full, and a refusal would help nobody.
+const minBusyRequests = 2
+
+// wouldDelayEvents reports whether one more stream would stretch the time between the events of those on its path beyond the limit.
+func (b *Board) wouldDelayEvents(n *Need, hops []Hop, expected Estimate) bool {
+	if !exceeds(expected.EventGap, n.EventGapLimit) {
+		return false
+	}
+	return slices.ContainsFunc(hops, func(h Hop) bool {
+		s := b.state(KeyOf(h.Upstream))
+		return s.inFlight+s.peerClaims.InFlight >= minBusyRequests
+	})
+}
+
 // ageOfView returns how old the newest claims of other nodes are, at most the time for which they count.
 func (b *Board) ageOfView() time.Duration {
 	age := b.viewAge
@@ -120,6 +179,9 @@
 type Shortage struct {
 	HasPath    bool          // there is one with room on each stage
 	FirstEvent time.Duration // predicted on the cheapest such path
+	Pipelined  time.Duration // likewise, the first event as Estimate.Pipelined
+	EventGap   time.Duration // likewise
+	LinksFull  bool          // there is none, but would be one if links between data centres had capacity for the prompt
 	Evidence   Evidence
 }
 
@@ -128,7 +190,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, hops := b.searchWhole(list, n)
-	return Shortage{HasPath: hops != nil, FirstEvent: b.estimate(n, hops).FirstEvent, Evidence: b.evidenceOf(p)}
+	if hops == nil {
+		over := *n
+		over.overLinks = true
+		_, detour := b.searchWhole(list, &over)
+		return Shortage{LinksFull: detour != nil, Evidence: b.evidenceOf(p)}
+	}
+	expected := b.estimate(n, hops)
+	return Shortage{HasPath: true, FirstEvent: expected.FirstEvent, Pipelined: expected.Pipelined, EventGap: expected.EventGap, Evidence: b.evidenceOf(p)}
 }
 
 // addReservation reserves the capacity of a stage if sign is 1, and releases it if sign is -1.
@@ -238,17 +307,15 @@
 	now := b.now()
 	var usable []candidate
 	for _, u := range list {
-		card, ok := n.Engine.Cards[u.Card]
-		if !ok || u.Draining || u.Layers.Len() == 0 || n.Engine.CheckLayers(u.Layers) != nil ||
-			contains(n.Exclude, u.ID) {
+		if n.unfit(u) != "" {
 			continue
 		}
 		s := b.state(KeyOf(u))
-		if b.isWithheld(s, now) || b.isExcluded(u, s, now) && (!useEjected || b.isRefusing(s, now)) {
+		if b.unavailable(u, s, now, useEjected) != "" {
 			continue
 		}
-		card = b.cardOf(n.Engine, u, s)
-		capacity := n.Engine.KVCapacity(card, u.Layers.Len()) * reservableShare
+		card := b.cardOf(n.Engine, u, s)
+		capacity := n.Engine.KVCapacity(card, u.Layers.Len()) * n.kvShare()
 		usable = append(usable, candidate{
 			upstream: u, card: card, capacity: capacity,
 			free:            capacity - s.reserved - s.peerClaims.Reserved,
@@ -262,6 +329,35 @@
 	return usable
 }
 
+// unfit returns why an upstream can't run a stage for a request whatever its state, or "".
+func (n *Need) unfit(u *fleet.Upstream) Reason {
+	_, ok := n.Engine.Cards[u.Card]
+	switch {
+	case u.Draining:
+		return Draining
+	case !ok || u.Layers.Len() == 0 || n.Engine.CheckLayers(u.Layers) != nil:
+		return OtherLayers
+	case contains(n.Exclude, u.ID):
+		return Failed
+	}
+	return ""
+}
+
+// unavailable returns why an upstream may get no request now, or "".
+func (b *Board) unavailable(u *fleet.Upstream, s *upstreamState, now time.Time, useEjected bool) Reason {
+	switch {
+	case b.isWithheld(s, now):
+		return AtRest
+	case !b.isExcluded(u, s, now):
+		return ""
+	case b.isRefusing(s, now):
+		return InDoubt
+	case !useEjected:
+		return Ejected
+	}
+	return ""
+}
+
 // cardOf returns the speeds of an upstream's card, with the slowdown that it reported.
 func (b *Board) cardOf(e *rules.Engine, u *fleet.Upstream, s *upstreamState) rules.Card {
 	card := e.Cards[u.Card]
@@ -274,9 +370,9 @@
 // tokenPairsPerUnit is the number of token pairs that an engine's attention time is given for.
 const tokenPairsPerUnit = 1e6
 
-// times returns the time until a stage's first output, which is that of queueing, prefill and one pass, and the time of
-// one pass.
-func (c *candidate) times(n *Need, layers fleet.Range, from string) (prefill, pass time.Duration) {
+// times returns the time until a stage's first output, which is that of queueing, prefill and one pass; the time of queueing in
+// it; and the time of one pass.
+func (c *candidate) times(n *Need, layers fleet.Range, from string) (prefill, queueing, pass time.Duration) {
 	e := n.Engine
 	share := float64(layers.Len()) / float64(e.Layers)
 	nsPerSecond := float64(time.Second)
@@ -290,7 +386,7 @@
 		pass += time.Duration(e.StepsPerPass) * e.LinkDelay
 		prefillNs += float64(e.LinkDelay + transferTime(e, n.PromptTokens))
 	}
-	return time.Duration(prefillNs) + pass, pass
+	return time.Duration(prefillNs) + pass, time.Duration(queued / prefillRate * nsPerSecond), pass
 }
 
 // prefillPerPass returns how long a stage prefills queued prompts between two of its passes.
@@ -307,6 +403,7 @@
 // estimate predicts the latencies of a generation on a path.
 func (b *Board) estimate(n *Need, hops []Hop) Estimate {
 	var e Estimate
+	var allQueueing, longestQueueing, longestPass time.Duration
 	from := ""
 	for _, h := range hops {
 		s := b.state(KeyOf(h.Upstream))
@@ -314,9 +411,15 @@
 			upstream: h.Upstream, card: b.cardOf(n.Engine, h.Upstream, s),
 			decoding: float64(s.inFlight + s.peerClaims.InFlight), prefill: s.prefill + s.peerClaims.Prefill,
 		}
-		prefill, pass := c.times(n, h.Layers, from)
+		prefill, queueing, pass := c.times(n, h.Layers, from)
 		e.FirstEvent += prefill
-		e.EventGap += pass + c.prefillPerPass(n.Engine, h.Layers)
+		allQueueing += queueing
+		longestQueueing = max(longestQueueing, queueing)
+		pass += c.prefillPerPass(n.Engine, h.Layers)
+		e.EventGap += pass
+		if pass >= longestPass {
+			longestPass, e.slowest = pass, h.Upstream
+		}
 		if crosses(from, h.Upstream.DataCentre) {
 			wait := b.linkWait(n.Engine, from, h.Upstream.DataCentre)
 			e.FirstEvent += wait
@@ -324,5 +427,6 @@
 		}
 		from = h.Upstream.DataCentre
 	}
+	e.Pipelined = e.FirstEvent - allQueueing + longestQueueing
 	return e
 }
--- a/core/board/plain.go
+++ b/core/board/plain.go
@@ -18,6 +18,7 @@
 	tokens       float64  // prompt and expected output
 	promptTokens float64
 	modelLayers  int
+	linkShare    float64          // of the node's link budgets, as of the choice of the path; 0 for all
 	crossedLinks []Key            // links that the prompt is crossing
 	prefillHops  []Hop            // stages that have not prefilled the prompt yet
 	probes       []*upstreamState // that the request probes
@@ -68,11 +69,7 @@
 			ejected = u
 			continue
 		}
-		inFlight := float64(s.firstStage + s.peerClaims.FirstStage)
-		if now.Sub(s.reportedRequestsAt) < reportedRequestsTTL {
-			// The request whose response carried the report has ended.
-			inFlight = max(inFlight, float64(s.reportedRequests-1))
-		}
+		inFlight := b.plainLoad(s, now)
 		if inFlight >= float64(u.Slots+queueSlack) {
 			continue
 		}
@@ -96,6 +93,16 @@
 	return r
 }
 
+// plainLoad returns how many requests an upstream of a plain service has, as far as is known.
+func (b *Board) plainLoad(s *upstreamState, now time.Time) float64 {
+	inFlight := float64(s.firstStage + s.peerClaims.FirstStage)
+	if now.Sub(s.reportedRequestsAt) < reportedRequestsTTL {
+		// The request whose response carried the report has ended.
+		inFlight = max(inFlight, float64(s.reportedRequests-1))
+	}
+	return inFlight
+}
+
 func contains(list []string, id string) bool {
 	for _, s := range list {
 		if s == id {
@@ -122,6 +129,7 @@
 	for _, h := range r.hops {
 		b.markAlive(h.Upstream)
 	}
+	b.onFreed()
 }
 
 // Cancel returns the reserved capacity of a request that was not sent, as Release does, its part of the limit, and the
--- a/core/board/search.go
+++ b/core/board/search.go
@@ -12,6 +12,7 @@
 // may begin or end; all it knows of a way to such a layer is its cost and the data centre of its last stage.
 type pathSearch struct {
 	need       *Need
+	useEjected bool
 	span       fleet.Range
 	candidates []candidate
 	bounds     []int    // layers at which a stage may begin or end, ascending; the span's ends are the first and the last
@@ -37,7 +38,7 @@
 func (b *Board) newSearch(
 	list []*fleet.Upstream, n *Need, span fleet.Range, dataCentre string, useEjected bool,
 ) *pathSearch {
-	p := &pathSearch{need: n, span: span, candidates: b.usable(list, n, useEjected), centres: []string{dataCentre}}
+	p := &pathSearch{need: n, useEjected: useEjected, span: span, candidates: b.usable(list, n, useEjected), centres: []string{dataCentre}}
 	p.bounds = stageBounds(p.candidates, span)
 	for _, c := range p.candidates {
 		i := slices.Index(p.centres, c.upstream.DataCentre)
@@ -188,7 +189,7 @@
 	}
 	cost := c.costs[layers.Len()]
 	if cost == 0 {
-		prefill, pass := c.times(n, layers, "")
+		prefill, _, pass := c.times(n, layers, "")
 		// Fullness does not depend on the stage's size, so that splitting a stage does not reduce the cost.
 		fullness := 1 - c.free/c.capacity
 		penalty := (float64(fullnessCost)*fullness*fullness + float64(inFlightCost)*c.decoding) *
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -97,9 +97,30 @@
 	return max(1, min(e.MaxLayers(c), int(share*c.SizeMB/e.LayerMB)))
 }
 
+// Option changes how a plan is made.
+type Option func(*options)
+
+type options struct {
+	balances bool
+	demand   serviceDemand
+}
+
+// WithBalancedRanges lets the ranges of a plan differ in length where the engine's cards differ much in memory. It raises the room
+// of the narrowest layers for the price of paths with more stages, which pays where requests compete for room.
+func WithBalancedRanges() Option { return func(o *options) { o.balances = true } }
+
+func newOptions(opts []Option) options {
+	var o options
+	for _, set := range opts {
+		set(&o)
+	}
+	return o
+}
+
 // Plan returns moves for empty upstreams. They first complete the model within each data centre where its cards
 // suffice, and then add copies of the layers that have the fewest.
-func Plan(e *rules.Engine, members []Member) []Move {
+func Plan(e *rules.Engine, members []Member, opts ...Option) []Move {
+	o := newOptions(opts)
 	coverage := coverageOf(e, members)
 	shares := layerShares(e, members)
 	var empty []Member
@@ -117,6 +138,9 @@
 		coverage.add(m.DataCentre, r, copyWeight(e, m.Card, r.Len()))
 		moves = append(moves, Move{m.ID, r})
 	}
+	if o.balances && e.HasUnevenCards() {
+		balance(e, members, moves)
+	}
 	return moves
 }
 
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbspread/core/fleet"
@@ -34,6 +35,10 @@
 	balancedMembers  []Member             // state for which rebalancing found no move
 	stableSince      time.Time            // start of the time with the same memberIDs and no moves planned
 	rebalancedAt     map[string]time.Time // time of the latest move by rebalancing, by upstream ID
+	shortSince       map[shortage]shortPeriod
+	demandMembers    []Member // state and data centres for which no move for demand was found
+	demandCentres    []string
+	demandMoves      atomic.Int64
 }
 
 // pendingOrder is the expected state of an upstream until the platform's list shows it or expiresAt.
@@ -46,16 +51,20 @@
 // NewPlanner returns a planner; fencingToken returns the lease's fencing token and whether the lease is held.
 func NewPlanner(engines Engines, fencingToken func() (uint64, bool), log logr.Logger) *Planner {
 	return &Planner{engines: engines, fencingToken: fencingToken, log: log, now: time.Now,
-		pending: make(map[string]pendingOrder), rebalancedAt: make(map[string]time.Time)}
+		pending: make(map[string]pendingOrder), rebalancedAt: make(map[string]time.Time),
+		shortSince: make(map[shortage]shortPeriod)}
 }
 
 // Step plans for the current upstreams of a service and sends the orders. The function suspected reports whether an
 // upstream is believed to be dead; such upstreams are ignored, as are those with layers that the model does not have.
 func (p *Planner) Step(ctx context.Context, e *rules.Engine, list []*fleet.Upstream,
-	suspected func(*fleet.Upstream) bool) {
+	suspected func(*fleet.Upstream) bool, opts ...Option) {
 	if _, held := p.fencingToken(); !held {
+		clear(p.shortSince)
 		return
 	}
+	o := newOptions(opts)
+	short := p.shortCentres(o.demand)
 	byID := make(map[string]*fleet.Upstream, len(list))
 	var members []Member
 	for _, u := range list {
@@ -71,8 +80,9 @@
 		members = append(members, m)
 	}
 	p.logCoverage(e, members)
-	moves := Plan(e, members)
-	moves = append(moves, p.rebalance(e, members, len(moves) > 0)...)
+	moves := Plan(e, members, opts...)
+	fillForDemand(e, members, moves, short, o)
+	moves = append(moves, p.rebalance(e, members, len(moves) > 0, short, o)...)
 	var calls sync.WaitGroup
 	semaphore := make(chan struct{}, maxConcurrentCalls)
 	results := make(chan orderResult, len(moves))
@@ -92,8 +102,8 @@
 }
 
 // rebalance returns at most one move of an upstream that already holds layers, if the upstreams have not changed for
-// stableTime and fewer than maxRebalancing such moves are pending.
-func (p *Planner) rebalance(e *rules.Engine, members []Member, hasMoves bool) []Move {
+// stableTime and fewer than maxRebalancing such moves are pending. Data centres that lack room are served first.
+func (p *Planner) rebalance(e *rules.Engine, members []Member, hasMoves bool, short []string, o options) []Move {
 	now := p.now()
 	ids := make([]string, 0, len(members))
 	for _, m := range members {
@@ -107,6 +117,10 @@
 		return nil
 	}
 	candidates := p.excludeRebalanced(members, now)
+	if m, ok := p.moveForDemand(e, candidates, short, o); ok {
+		p.rebalancedAt[m.ID] = now
+		return []Move{m}
+	}
 	if slices.Equal(candidates, p.balancedMembers) {
 		return nil
 	}
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -64,12 +64,16 @@
 	}
 	r.mu.Unlock()
 	rulesVersion, listVersion := r.executor.fleet.Versions()
-	r.executor.log.Info("attempt", "request", r.request.ID, "number", number, "beside", beside, "upstream", res.Upstream.ID,
+	fields := []any{"request", r.request.ID, "number", number, "beside", beside, "upstream", res.Upstream.ID,
 		"path", board.Describe(res.Hops()), "expected-first-ms", res.Expected.FirstEvent.Milliseconds(),
 		"expected-pause-ms", res.Expected.EventGap.Milliseconds(), "cost-ms", int(res.Evidence.Cost),
 		"next-cost-ms", int(res.Evidence.NextCost), "view-age-ms", res.Evidence.ViewAge.Milliseconds(),
 		"unseen", r.unseen(res.Evidence), "last-event", lastEventID,
-		"rules-version", rulesVersion, "list-version", listVersion, "waited-ms", a.startedAt.Sub(r.started).Milliseconds())
+		"rules-version", rulesVersion, "list-version", listVersion, "waited-ms", a.startedAt.Sub(r.started).Milliseconds()}
+	if r.ticket != nil {
+		fields = append(fields, "expected-pipelined-ms", res.Expected.Pipelined.Milliseconds())
+	}
+	r.executor.log.Info("attempt", append(fields, r.admissionFields()...)...)
 	return a
 }
 
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -27,6 +27,7 @@
 	ReturnTrial(suspects []crash.Fingerprint)
 	IsWithheld(suspects []crash.Fingerprint) bool
 	Stamp() uint64
+	Snapshot() *crash.Registry
 	Answered(parts []crash.Fingerprint, begun uint64, took time.Duration) []crash.Mark
 }
 
@@ -66,20 +67,20 @@
 	return "", crash.Quarantined{}, false
 }
 
-// trialAttempt returns the first attempt at a request that is sent on trial although it is in quarantine, or nil if it may not be sent. It
-// waits for no room.
-func (r *run) trialAttempt(f crash.Fingerprint, verdict crash.Quarantined) *attempt {
+// reserveTrial reserves capacity for the first attempt at a request that is sent on trial although it is in quarantine, and returns nil if
+// it may not be sent. It waits for no room.
+func (r *run) reserveTrial(f crash.Fingerprint, verdict crash.Quarantined) *board.Reservation {
 	if f != r.fingerprint || r.attempts() > 0 || r.executor.crashes.IsWithheld(r.suspects) || !r.executor.crashes.TakeTrial(f) {
 		return nil
 	}
-	res := r.tryReserve(r.excluded())
+	res := r.tryReserve(r.need(r.excluded()))
 	if res == nil {
 		r.executor.crashes.ReturnTrial([]crash.Fingerprint{f})
 		return nil
 	}
 	r.executor.log.Info("request-trial", "request", r.request.ID, "fingerprint", string(f), "upstream", res.Upstream.ID,
 		"remaining-ms", verdict.Remaining().Milliseconds())
-	return r.newAttempt(res, nil)
+	return res
 }
 
 // quarantineRefusal returns the refusal of a request for a suspect in quarantine.
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"rhubarbspread/core/admit"
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/crash"
 	"rhubarbspread/core/reply"
@@ -43,6 +45,9 @@
 	log       logr.Logger
 	reports   reportCache
 	buffers   bufferBudget
+	gate      Gate
+	random    func() float64 // uniform in [0, 1), for Retry-After
+	dry       *dryRun        // nil for an executor that serves requests
 }
 
 // Dependencies holds the dependencies of an executor.
@@ -56,13 +61,15 @@
 	Broadcast func(crash.Mark) // sends a crash mark to the other nodes
 	Meter     Meter
 	Log       logr.Logger
+	Gate      Gate // nil if no service has admission control
 }
 
 // New returns an executor with the given dependencies.
 func New(d Dependencies) *Executor {
 	return &Executor{
 		transport: d.Transport, engines: d.Engines, board: d.Board, fleet: d.Fleet, budget: d.Budget, crashes: d.Crashes,
-		broadcast: d.Broadcast, meter: d.Meter, log: d.Log, reports: reportCache{engines: d.Engines},
+		broadcast: d.Broadcast, meter: d.Meter, log: d.Log, reports: reportCache{engines: d.Engines}, gate: d.Gate,
+		random: rand.Float64,
 	}
 }
 
@@ -106,6 +113,8 @@
 	longestGap       time.Duration // between two events
 	fingerprint      crash.Fingerprint
 	suspects         []crash.Fingerprint // of the parts of the prompt, then the fingerprint
+	admission        *Admission          // of the service; nil where none is in force
+	ticket           *admit.Ticket       // nil without admission
 
 	mu             sync.Mutex // guards the fields below, which attempts beside the current one change as well
 	summary        reply.AttemptSummary
@@ -120,20 +129,17 @@
 	isAnswered     bool       // no more attempts may begin beside the current one
 	lastEventID    int64      // of the latest event that the caller has, or noID; written by the request's goroutine alone
 	lastEventText  string     // the same as sent to upstreams, or ""
+	ahead          int        // requests ahead in the queue of admission when it joined or was refused
 }
 
 // Run makes attempts at a request until its answer is complete. Its error is a *Refusal, ErrAnswerBroken or
 // ErrCallerGone.
 func (e *Executor) Run(ctx context.Context, q *Request, sink Sink) error {
-	r := &run{executor: e, request: q, sink: sink, lastEventID: noID, lastEventText: q.LastEventID,
-		started: time.Now(), suspects: q.suspects()}
-	r.fingerprint = r.suspects[len(r.suspects)-1]
-	e.crashes.RecordUse(r.suspects[:len(r.suspects)-1])
-	e.budget.RecordFirstAttempt(q.Service.Name)
 	ctx, cancel := context.WithDeadline(ctx, q.ExpiresAt)
 	defer cancel()
-	r.ctx = ctx
+	r := e.begin(ctx, q, sink)
 	defer r.abandonReplacements(false)
+	defer r.leaveAdmission()
 	for {
 		a, err := r.nextAttempt()
 		if err != nil {
@@ -150,6 +156,17 @@
 	}
 }
 
+// begin records the arrival of a request.
+func (e *Executor) begin(ctx context.Context, q *Request, sink Sink) *run {
+	r := &run{executor: e, request: q, sink: sink, lastEventID: noID, lastEventText: q.LastEventID,
+		started: time.Now(), suspects: q.suspects(), ctx: ctx}
+	r.fingerprint = r.suspects[len(r.suspects)-1]
+	e.crashes.RecordUse(r.suspects[:len(r.suspects)-1])
+	e.budget.RecordFirstAttempt(q.Service.Name)
+	r.enterAdmission()
+	return r
+}
+
 // nextAttempt returns an attempt that has begun beside the last one, or else a new one on capacity that it waits for.
 func (r *run) nextAttempt() (*attempt, error) {
 	if a := r.adoptReplacement(); a != nil {
@@ -158,13 +175,26 @@
 		}
 		return a, nil
 	}
+	res, err := r.nextReservation()
+	if err != nil {
+		return nil, err
+	}
+	return r.newAttempt(res, nil), nil
+}
+
+// nextReservation returns the capacity for a new attempt, for which it waits.
+func (r *run) nextReservation() (*board.Reservation, error) {
 	if f, verdict, ok := r.quarantine(); ok {
-		if a := r.trialAttempt(f, verdict); a != nil {
-			return a, nil
+		if res := r.reserveTrial(f, verdict); res != nil {
+			return res, nil
 		}
 		return nil, r.quarantineRefusal(f, verdict)
 	}
-	res, err := r.reserve(r.ctx)
+	reserve := r.reserve
+	if r.isInAdmission() {
+		reserve = r.reserveInOrder
+	}
+	res, err := reserve(r.ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +202,7 @@
 		res.Cancel()
 		return nil, r.quarantineRefusal(f, verdict)
 	}
-	return r.newAttempt(res, nil), nil
+	return res, nil
 }
 
 // end records the result of a request and returns its error.
@@ -230,52 +260,63 @@
 func (r *run) reserve(ctx context.Context) (*board.Reservation, error) {
 	began := time.Now()
 	defer func() { r.executor.meter.Observe("wait-for-room-us", time.Since(began)) }()
-	until := time.NewTimer(maxCapacityWait)
-	defer until.Stop()
+	until, stop := r.executor.endOfWait(r.ctx, maxCapacityWait)
+	defer stop()
 	for {
 		freed := r.executor.board.CapacityFreed()
-		admission := r.executor.crashes.Admit(r.suspects)
-		if admission != crash.Withheld {
-			if res := r.tryReserve(r.excluded()); res != nil {
-				if admission == crash.OnTrial {
-					r.executor.log.Info("part-trial", "request", r.request.ID, "parts", r.request.describeParts(), "upstream", res.Upstream.ID)
-				}
-				return res, nil
-			}
+		res, isWithheld := r.tryAdmitted(r.need(r.excluded()))
+		if res != nil {
+			return res, nil
 		}
 		var release <-chan time.Time // when to ask again whether the request is withheld; nil if it is not
-		if admission != crash.Admitted {
+		if isWithheld {
 			release = time.After(withheldPoll)
 		}
-		if admission == crash.OnTrial {
-			r.executor.crashes.ReturnTrial(r.suspects)
-		}
 		if wait := r.restWait(); wait > maxCapacityWait {
 			return nil, r.restRefusal(wait)
 		}
 		select {
 		case <-freed:
 		case <-release:
-		case <-until.C:
-			if admission != crash.Admitted {
+		case <-until:
+			r.executor.endWait()
+			if isWithheld {
 				return nil, r.withheldRefusal()
 			}
 			r.logShortage(time.Since(began))
 			return nil, r.refusal("no upstream has room")
 		case <-ctx.Done():
+			r.executor.endWait()
 			return nil, r.refusal("its time is over")
 		}
 	}
 }
 
-// tryReserve reserves an upstream, or a path for a model, without the excluded upstreams. It returns nil if none has
-// capacity.
-func (r *run) tryReserve(exclude []string) *board.Reservation {
+// tryAdmitted reserves capacity unless the request is withheld, and reports whether it is withheld or on trial.
+func (r *run) tryAdmitted(n *board.Need) (res *board.Reservation, isWithheld bool) {
+	admission := r.executor.crashes.Admit(r.suspects)
+	if admission == crash.Withheld {
+		return nil, true
+	}
+	if res = r.tryReserve(n); res != nil {
+		if admission == crash.OnTrial {
+			r.executor.log.Info("part-trial", "request", r.request.ID, "parts", r.request.describeParts(), "upstream", res.Upstream.ID)
+		}
+		return res, false
+	}
+	if admission == crash.OnTrial {
+		r.executor.crashes.ReturnTrial(r.suspects)
+	}
+	return nil, admission != crash.Admitted
+}
+
+// tryReserve reserves an upstream, or a path for a model, that meets the requirements. It returns nil if none has capacity.
+func (r *run) tryReserve(n *board.Need) *board.Reservation {
 	list := r.executor.fleet.Upstreams(r.request.Service.Name)
 	if r.request.Service.Engine == nil {
-		return r.executor.board.ReservePlain(list, exclude)
+		return r.executor.board.ReservePlain(list, n.Exclude)
 	}
-	return r.executor.board.ReservePath(list, r.need(exclude))
+	return r.executor.board.ReservePath(list, n)
 }
 
 // logShortage logs on what evidence a request that waited for room is refused.
@@ -283,11 +324,19 @@
 	if r.request.Service.Engine == nil {
 		return
 	}
-	n := r.need(r.excluded())
+	n := r.limitedNeed(r.excluded())
 	s := r.executor.board.ShortageOf(r.executor.fleet.Upstreams(r.request.Service.Name), n)
-	r.executor.log.Info("no-room", "request", r.request.ID, "has-path", s.HasPath, "least-first-ms", s.FirstEvent.Milliseconds(),
+	fields := []any{"request", r.request.ID, "has-path", s.HasPath, "links-full", s.LinksFull, "least-first-ms", s.FirstEvent.Milliseconds(),
 		"limit-ms", n.FirstEventLimit.Milliseconds(), "excluded", len(n.Exclude), "view-age-ms", s.Evidence.ViewAge.Milliseconds(),
-		"unseen", r.unseen(s.Evidence), "waited-ms", waited.Milliseconds())
+		"unseen", r.unseen(s.Evidence), "waited-ms", waited.Milliseconds(),
+		"least-pause-ms", s.EventGap.Milliseconds(), "pause-limit-ms", n.EventGapLimit.Milliseconds()}
+	if s.LinksFull && n.LinkShare > 0 && n.LinkShare < 1 {
+		r.executor.meter.Count("admission-link-narrowed")
+	}
+	if r.ticket != nil {
+		fields = append(fields, "least-pipelined-ms", s.Pipelined.Milliseconds(), "pipelined-limit-ms", n.PipelinedLimit.Milliseconds())
+	}
+	r.executor.log.Info("no-room", append(fields, r.admissionFields()...)...)
 }
 
 // unseen returns how many requests of other nodes a choice did not know of, for logs.
@@ -311,8 +360,11 @@
 	return err
 }
 
-// need returns the requirements of a generation on its path.
+// need returns the requirements of a generation on its path; those of a request for a plain service are the excluded upstreams.
 func (r *run) need(exclude []string) *board.Need {
+	if r.request.Service.Engine == nil {
+		return &board.Need{Exclude: exclude}
+	}
 	return &board.Need{
 		Engine:          r.request.Service.Engine,
 		DataCentre:      r.executor.fleet.DataCentre(),
--- a/core/proxy/replace.go
+++ b/core/proxy/replace.go
@@ -21,9 +21,9 @@
 	}
 	first := silent.reservation.Upstream
 	exclude := append(r.inUse(), faulty.ID)
-	res := r.tryReserve(append(exclude, first.ID))
+	res := r.tryReserve(r.need(append(exclude, first.ID)))
 	if res == nil && faulty != first { // a later stage is at fault, and only this upstream may have the first layers
-		res = r.tryReserve(exclude)
+		res = r.tryReserve(r.need(exclude))
 	}
 	if res == nil {
 		return false
--- a/core/proxy/retry.go
+++ b/core/proxy/retry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -104,8 +103,12 @@
 	if r.runState() != reply.NotRun {
 		return r.failure(cause, http.StatusBadGateway)
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Cause: cause,
-		RetryAfter: retryAfter(time.Until(r.request.ExpiresAt), rand.Float64())}
+	left := time.Until(r.request.ExpiresAt) - r.executor.skipped()
+	after := retryAfter(left, r.executor.random())
+	if r.ticket != nil {
+		after = r.ticket.RetryAfter(left, r.executor.random())
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: after}
 }
 
 // Shares of a caller's remaining time from which its Retry-After is drawn. Callers wait for a third of that time at
--- a/core/rules/engine.go
+++ b/core/rules/engine.go
@@ -37,6 +37,19 @@
 	PrefillFactor float64 // factor on prefill times, above 1 is slower
 }
 
+// unevenSizeRatio is the memory of the largest card relative to the smallest from which on cards are uneven: the smallest then
+// hold a few layers, and paths have many stages.
+const unevenSizeRatio = 4
+
+// HasUnevenCards reports whether the cards differ so much in memory that paths over small ones have many stages.
+func (e *Engine) HasUnevenCards() bool {
+	smallest, largest := math.Inf(1), 0.0
+	for _, c := range e.Cards {
+		smallest, largest = min(smallest, c.SizeMB), max(largest, c.SizeMB)
+	}
+	return largest >= unevenSizeRatio*smallest
+}
+
 // CheckLayers returns an error if a range goes beyond the model.
 func (e *Engine) CheckLayers(r fleet.Range) error {
 	if r.From < 0 || r.To < r.From || r.To > e.Layers {
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -97,6 +97,9 @@
 	Priority int // replaces the route's if not negative
 }
 
+// noPriority is the priority of a team that has none of its own.
+const noPriority = -1
+
 // Access says who may send requests to routes that are not public: Open or Keyed.
 type Access interface{ isAccess() }
 
@@ -161,6 +164,33 @@
 // Service returns a service by name, or nil.
 func (r *Rules) Service(name string) *Service { return r.services[name] }
 
+// RoutesTo returns the routes that send requests to a service.
+func (r *Rules) RoutesTo(service string) []*Route {
+	var list []*Route
+	for _, routes := range r.routes {
+		for _, t := range routes {
+			if slices.ContainsFunc(t.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 }) {
+				list = append(list, t)
+			}
+		}
+	}
+	return list
+}
+
+// TeamPriorities returns the different priorities of teams in ascending order, with -1 if a request may have none.
+func (r *Rules) TeamPriorities() []int {
+	keys, isKeyed := r.access.(Keyed)
+	if !isKeyed {
+		return []int{noPriority}
+	}
+	list := []int{noPriority} // of public routes
+	for _, t := range keys {
+		list = append(list, max(noPriority, t.Priority))
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // Engines returns the services whose upstreams hold ranges of a model's layers, by name.
 func (r *Rules) Engines() []*Service {
 	var list []*Service
@@ -186,12 +216,15 @@
 	return nil
 }
 
-// NeedsKey reports whether requests of a route need a team's key.
-func (r *Rules) NeedsKey(t *Route) bool {
+// IsOpen reports whether the configuration has no list of teams, so that everyone may send requests without a key.
+func (r *Rules) IsOpen() bool {
 	_, isOpen := r.access.(Open)
-	return !isOpen && !t.Public
+	return isOpen
 }
 
+// NeedsKey reports whether requests of a route need a team's key.
+func (r *Rules) NeedsKey(t *Route) bool { return !r.IsOpen() && !t.Public }
+
 // Team returns the team that holds a key. An empty key is none.
 func (r *Rules) Team(key string) (Team, bool) {
 	keys, ok := r.access.(Keyed)
