Bound what clients of node ports make a node hold; gossip demand and levels

Cause: the ports between nodes had no limit but the size of a message, and state was kept for each name that a datagram stated.

Change: limits on connections, time, bytes, unlisted names and crash marks; digests carry counts of classes and demand in new fields, which older builds ignore.

--- a/io/hop/encode.go
+++ b/io/hop/encode.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net"
 	"strconv"
 	"strings"
 )
@@ -18,10 +19,11 @@
 
 var errHeader = errors.New("a header that can't be passed on")
 
-// encode serializes a request with its body and Content-Length; the other end-to-end headers stay as they are.
-func encode(c *Call) ([]byte, error) {
+// encode serializes a request with its body and Content-Length; the other end-to-end headers stay as they are. The body of a long
+// request is not copied, as each attempt would hold a copy until the upstream has read it.
+func encode(c *Call) (net.Buffers, error) {
 	var b bytes.Buffer
-	b.Grow(512 + len(c.Body))
+	b.Grow(512 + min(len(c.Body), maxInlineBytes))
 	line := func(parts ...string) {
 		for _, p := range parts {
 			b.WriteString(p)
@@ -48,6 +50,9 @@
 		line("Content-Length: ", strconv.Itoa(len(c.Body)))
 	}
 	line()
+	if b.Len()+len(c.Body) > maxInlineBytes {
+		return net.Buffers{b.Bytes(), c.Body}, nil
+	}
 	b.Write(c.Body)
-	return b.Bytes(), nil
+	return net.Buffers{b.Bytes()}, nil
 }
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -290,7 +291,8 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			raw, err := encode(&tc.call)
+			parts, err := encode(&tc.call)
+			raw := bytes.Join(parts, nil)
 			if (err != nil) != tc.isError {
 				t.Fatalf("encode returned the error %v", err)
 			}
@@ -308,6 +310,15 @@
 	}
 }
 
+// TestLongBodiesAreNotCopied guards against attempts that each hold a copy of the body until a slow upstream has read it.
+func TestLongBodiesAreNotCopied(t *testing.T) {
+	c := Call{Method: http.MethodPost, URI: "/", Host: "h", Body: make([]byte, 2*maxInlineBytes)}
+	parts, err := encode(&c)
+	if err != nil || len(parts) != 2 || len(parts[0]) > 1<<10 || &parts[1][0] != &c.Body[0] {
+		t.Errorf("error %v, %d parts; want a short head and the body itself", err, len(parts))
+	}
+}
+
 func TestSweepClosesUnwantedTargets(t *testing.T) {
 	s := serve(t, func(int64) (string, bool) { return answerTo("1", "yes"), false })
 	p := newPool()
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -249,9 +249,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(raw) <= maxInlineBytes {
+	if len(raw) == 1 {
 		_ = x.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err = x.conn.Write(raw)
+		_, err = x.conn.Write(raw[0])
 		x.written <- err
 		if err != nil {
 			return nil, err
@@ -260,7 +260,7 @@
 		// A long request is written concurrently, as an upstream may answer before it has read the whole body. Its context bounds it.
 		_ = x.conn.SetWriteDeadline(time.Time{})
 		go func() {
-			_, err := x.conn.Write(raw)
+			_, err := raw.WriteTo(x.conn.Conn)
 			x.written <- err
 		}()
 	}
--- a/io/mesh/fetch.go
+++ b/io/mesh/fetch.go
@@ -126,7 +126,7 @@
 }
 
 // News returns the data that is newer here than the versions in the request.
-func (s *server) News(_ context.Context, in *wire.NewsRequest) (*wire.NewsReply, error) {
+func (s *server) News(ctx context.Context, in *wire.NewsRequest) (*wire.NewsReply, error) {
 	state := s.mesh.storeState()
 	out := &wire.NewsReply{RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord)}
 	if state.RulesVersion > in.GetRules() {
@@ -139,5 +139,5 @@
 	if in.GetLacksNodes() {
 		out.Nodes = encodeRows(state.NodeRows)
 	}
-	return out, nil
+	return out, s.mesh.holdAnswer(ctx, out)
 }
--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -17,6 +17,10 @@
 	// receiver lacks, as a node does that has restarted or was cut off.
 	evidencePeriods = 4
 	maxMarks        = 96 // in one datagram, which all its claims share
+	// maxReceivedMarks is how many marks of one datagram are applied: more than builds with a larger maxMarks may send.
+	maxReceivedMarks = 4 * maxMarks
+	// maxMarkName is the length of the names in a mark, in bytes; fingerprints have 37.
+	maxMarkName = 256
 	// urgentMarkTime is for how long a mark is in each datagram; later it is repeated with the evidence only. A relay sends
 	// all marks of its data centre to each member, over a link that may be slow.
 	urgentMarkTime = 3 * gossipPeriod
@@ -121,9 +125,20 @@
 	return uint32(mark.Fingerprint.Key()) + uint32(mark.Prolonged)
 }
 
-// applyMarks applies the crash marks in a digest.
+// applyMarks applies the crash marks in a digest, up to a limit that no node reaches.
 func (m *Mesh) applyMarks(d *wire.Digest) {
-	for _, c := range d.GetCrashes() {
+	crashes := d.GetCrashes()
+	if n := len(crashes); n > maxReceivedMarks {
+		m.count(counterMarks)
+		if lines := m.markLines.due(); lines > 0 {
+			m.log.Info("datagram-refused", "limit", "crash-marks", "other", shortName(d.GetNode()), "marks", n, "count", lines)
+		}
+	}
+	for _, c := range crashes[:min(len(crashes), maxReceivedMarks)] {
+		if max(len(c.GetFingerprint()), len(c.GetUpstream()), len(c.GetDataCentre())) > maxMarkName {
+			m.count(counterMarks)
+			continue
+		}
 		m.crashes.ApplyMark(crash.Mark{
 			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
 			Stamp: c.GetStamp(), Symptom: crash.Symptom(c.GetSign()), Cleared: c.GetCleared(),
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -10,9 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbspread/core/admit"
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/crash"
+	"rhubarbspread/core/demand"
 	"rhubarbspread/core/pacer"
+	"rhubarbspread/core/quota"
 	"rhubarbspread/core/retry"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/mesh/wire"
@@ -20,7 +23,6 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 )
 
 // Times of the mesh, and the factor of its units.
@@ -61,6 +63,12 @@
 	MergeCounts(node string, nodes retry.Coverage, counts map[uint32]retry.Count)
 }
 
+// Demand exchanges the counts of admission control.
+type Demand interface {
+	Counts() map[uint32]admit.Count
+	Merge(node string, counts map[uint32]admit.Count)
+}
+
 // Peer is another node as its latest datagram describes it.
 type Peer struct {
 	Name         string
@@ -100,6 +108,15 @@
 
 	crashes CrashRegistry
 	retries RetryBudget
+	demand  Demand        // nil for none
+	meter   *demand.Meter // of the demand by data centre; nil for none
+
+	connLimit int                        // of RPCs
+	answers   quota.Budget               // of the bytes of answers to RPCs
+	onLimit   func(limit, client string) // called when a limit refuses or closes a client
+	count     func(name string)          // counts refused datagrams
+
+	unlistedLines, unreadableLines, markLines boundedLines
 
 	role atomic.Pointer[role] // as of the latest period
 
@@ -117,19 +134,32 @@
 	sequence      uint32
 	latest        *wire.Digest // of any scope
 	ownDigest     *wire.Digest // of the node alone
+	latestBytes   int          // encoded size of latest, or 0 if the node is listed
+	ownBytes      int          // the same of ownDigest
 	ownReceivedAt time.Time
 	fetchFailedAt time.Time // zero if the latest fetch from it succeeded
 }
 
+// Option configures a Mesh.
+type Option func(*Mesh)
+
+// WithDemand exchanges the counts of admission control as well.
+func WithDemand(d Demand) Option { return func(m *Mesh) { m.demand = d } }
+
 // New returns a Mesh that Run starts; storeState returns the store's data that the node has, listedNodes the other
 // nodes in the store's list.
 func New(c Config, b *board.Board, storeState func() StoreState, listedNodes func() map[string]Node,
-	crashes CrashRegistry, retries RetryBudget, log logr.Logger) *Mesh {
-	return &Mesh{
+	crashes CrashRegistry, retries RetryBudget, log logr.Logger, opts ...Option) *Mesh {
+	m := &Mesh{
 		config: c, board: b, crashes: crashes, retries: retries, storeState: storeState, listedNodes: listedNodes, log: log,
 		peers: make(map[string]*peerState), awaited: newAwaited(),
 		incarnation: uint64(time.Now().UnixNano()), news: make(chan struct{}, 1),
+		connLimit: defaultConns, onLimit: func(string, string) {}, count: func(string) {},
+	}
+	for _, o := range opts {
+		o(m)
 	}
+	return m
 }
 
 // Run sends and receives datagrams and serves RPCs until the context is canceled.
@@ -151,7 +181,7 @@
 		return errors.Join(err, conn.Close(), listener.Close())
 	}
 	done := make(chan error, 4)
-	go func() { done <- drpcserver.New(mux).Serve(ctx, listener) }()
+	go func() { done <- m.serveRPCs(ctx, mux, listener) }()
 	go func() { done <- m.receive(conn) }()
 	go func() { done <- m.send(ctx, conn) }()
 	go func() { done <- m.sendFacts(ctx, conn) }()
@@ -177,7 +207,7 @@
 		}
 		var d wire.Digest
 		if err := proto.Unmarshal(buffer[:n], &d); err != nil {
-			m.log.Info("datagram-unreadable", "cause", err.Error())
+			m.refuseUnreadable(err)
 			continue
 		}
 		m.handleDigest(&d)
@@ -193,7 +223,16 @@
 		m.handleFacts(d)
 		return
 	}
+	listed, size := m.listedNodes(), 0
+	if _, ok := listed[d.GetNode()]; !ok {
+		size = proto.Size(d)
+	}
 	m.mu.Lock()
+	if !m.admits(d, size, listed) {
+		m.mu.Unlock()
+		m.refuseUnlisted(d)
+		return
+	}
 	s := m.peers[d.GetNode()]
 	if s == nil {
 		s = &peerState{}
@@ -209,14 +248,15 @@
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
 	s.Peer = peerOf(d)
 	m.awaited.heard(d.GetNode())
-	s.latest = d
+	s.latest, s.latestBytes = d, size
 	if d.GetScope() == wire.Scope_NODE {
-		s.ownDigest, s.ownReceivedAt = d, time.Now()
+		s.ownDigest, s.ownBytes, s.ownReceivedAt = d, size, time.Now()
 	}
 	m.mu.Unlock()
 	m.applyMarks(d)
 	m.board.ApplyLimits(limitsOf(d))
 	m.board.ApplyDoubts(doubtsOf(d))
+	m.applyLoads(d)
 	if d.GetScope() == wire.Scope_NODE && m.usesRelays() {
 		return // a relay's sum contains it
 	}
@@ -252,6 +292,9 @@
 		counts[s.GetService()] = retry.Count{FirstAttempts: int(s.GetFirsts()), Retries: int(s.GetRepeats())}
 	}
 	m.retries.MergeCounts(gossip.Node, retry.Coverage{Nodes: nodeCount(d), Settled: int(d.GetSettled())}, counts)
+	if m.demand != nil {
+		m.demand.Merge(gossip.Node, demandOf(d))
+	}
 }
 
 // nodeCount returns how many nodes a digest covers.
@@ -287,6 +330,7 @@
 	for ctx.Err() == nil {
 		sequence++
 		m.board.SetViewAge(m.viewAge())
+		m.dropSilentUnlisted(m.listedNodes())
 		for _, d := range m.datagrams(m.digest(sequence), m.knownNodes()) {
 			raw, err := proto.Marshal(d.digest)
 			if err != nil {
@@ -329,7 +373,7 @@
 		}
 		address, err := netip.ParseAddrPort(s.ownDigest.GetAddress())
 		if err != nil {
-			m.log.Info("datagram-unreadable", "other", name, "cause", err.Error())
+			m.refuseUnreadable(err)
 			continue
 		}
 		all[name] = Node{address, s.ownDigest.GetDataCentre(), s.ownDigest.GetCapacity()}
@@ -364,7 +408,7 @@
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
 		RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord), Capacity: m.config.Capacity,
-		ListNews: m.listNews(state.ListNews),
+		ListNews: m.listNews(state.ListNews), Loads: m.loads(sequence, (*demand.Meter).Own),
 	}
 	for hash, c := range m.board.Claims() {
 		d.Claims = append(d.Claims, &wire.Claim{
@@ -375,6 +419,9 @@
 	for hash, c := range m.retries.Counts() {
 		d.Spent = append(d.Spent, &wire.Spent{Service: hash, Firsts: uint32(c.FirstAttempts), Repeats: uint32(c.Retries)})
 	}
+	if m.demand != nil {
+		d.Demand = encodeDemand(m.demand.Counts())
+	}
 	for hash, s := range m.board.Limits() {
 		d.Limits = append(d.Limits, &wire.Limit{
 			Upstream: hash, PerSecond: s.PerSecond, Lifted: s.IsLifted, AgeMs: uint32(s.Age.Milliseconds()),
--- a/io/mesh/outage_test.go
+++ b/io/mesh/outage_test.go
@@ -163,6 +163,33 @@
 	}
 }
 
+// loseInTurn returns a disturbance that ends all upstreams at one moment, each once all requests of the one before have been sent again.
+func loseInTurn(at ...time.Duration) func(f *crasherFleet, elapsed time.Duration) {
+	return func(f *crasherFleet, elapsed time.Duration) {
+		if !slices.Contains(at, elapsed) {
+			return
+		}
+		for _, u := range f.listed() {
+			f.stop(u, upstreamDownTime)
+			synctest.Wait()
+		}
+	}
+}
+
+// TestRetriesWithinAnOutageBlameNoRequest guards against sound requests in quarantine that were sent again to an upstream which ended in
+// the same outage, and so lost two.
+func TestRetriesWithinAnOutageBlameNoRequest(t *testing.T) {
+	for _, c := range []outageCase{
+		{name: "once in turn", nodes: 9, upstreams: 40, answer: 1500 * time.Millisecond, disturb: loseInTurn(6 * time.Second)},
+		{name: "three times in turn", nodes: 9, upstreams: 40, answer: 1500 * time.Millisecond, disturb: loseInTurn(6*time.Second, 10500*time.Millisecond, 15*time.Second)},
+		{name: "three times in turn", nodes: 9, upstreams: 12, answer: 200 * time.Millisecond, disturb: loseInTurn(6*time.Second, 10500*time.Millisecond, 15*time.Second)},
+	} {
+		for seed := range *outageSeeds {
+			playOutage(t, c, seed, (*crasherFleet).checkParts, (*crasherFleet).checkOthers)
+		}
+	}
+}
+
 // checkRecovery fails if less than half of the sound requests are served from settleTime after the last return of all upstreams.
 func (f *crasherFleet) checkRecovery() {
 	f.t.Helper()
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"rhubarbspread/core/demand"
 	"rhubarbspread/io/mesh/wire"
 
 	"github.com/cespare/xxhash/v2"
@@ -140,6 +141,8 @@
 	ownRank := slices.Index(relays[m.config.DataCentre].active, m.config.Node)
 	var out []datagram
 	dataCentreSum := total.digest(own, wire.Scope_DATA_CENTRE, own.GetRules(), own.GetList())
+	dataCentreSum.Loads = m.loads(own.GetSequence(), (*demand.Meter).Centre)
+	loads := m.loads(own.GetSequence(), (*demand.Meter).All)
 	for dataCentre, set := range relays {
 		for _, name := range set.receivers {
 			if dataCentre != m.config.DataCentre {
@@ -153,7 +156,9 @@
 	for _, d := range members {
 		total.add(d, -1)
 		if n, ok := others[d.GetNode()]; ok && m.isTurnOf(d.GetNode(), own.GetSequence(), len(members), ownRank) {
-			out = append(out, datagram{n.Address, total.digest(own, wire.Scope_OTHERS, own.GetRules(), own.GetList())})
+			sum := total.digest(own, wire.Scope_OTHERS, own.GetRules(), own.GetList())
+			sum.Loads = loads
+			out = append(out, datagram{n.Address, sum})
 		}
 		total.add(d, 1)
 	}
@@ -207,6 +212,7 @@
 	crashes  map[crashID]*wire.Crash
 	planners int // nodes that hold the lease
 	retries  map[uint32]*wire.Spent
+	demand   map[uint32]*wire.Demand
 	nodes    int // that the sum covers
 	settled  int // of these, the nodes whose retry counts cover a whole window
 }
@@ -221,7 +227,7 @@
 	return &digestSum{
 		claims: make(map[uint32]*wire.Claim), failed: make(map[uint32]int), health: make(map[uint32]*wire.Health),
 		members: make(map[uint32]int), refusing: make(map[uint32]int), retries: make(map[uint32]*wire.Spent),
-		crashes: make(map[crashID]*wire.Crash),
+		crashes: make(map[crashID]*wire.Crash), demand: make(map[uint32]*wire.Demand),
 	}
 }
 
@@ -253,6 +259,15 @@
 		sum.Firsts += uint32(sign) * spent.GetFirsts()
 		sum.Repeats += uint32(sign) * spent.GetRepeats()
 	}
+	for _, c := range d.GetDemand() {
+		sum := s.demand[c.GetClass()]
+		if sum == nil {
+			sum = &wire.Demand{Class: c.GetClass()}
+			s.demand[c.GetClass()] = sum
+		}
+		sum.Offered += uint32(sign) * c.GetOffered()
+		sum.Unserved += uint32(sign) * c.GetUnserved()
+	}
 	for _, hash := range d.GetRefusing() {
 		s.refusing[hash] += sign
 	}
@@ -303,6 +318,13 @@
 			Service: spent.GetService(), Firsts: spent.GetFirsts(), Repeats: spent.GetRepeats(),
 		})
 	}
+	for _, c := range s.demand {
+		if c.GetOffered()+c.GetUnserved() == 0 {
+			continue
+		}
+		d.Demand = append(d.Demand, &wire.Demand{Class: c.GetClass(), Offered: c.GetOffered(), Unserved: c.GetUnserved()})
+	}
+	d.Demand = mostDemand(d.Demand)
 	d.Resting, d.Refusing = repeatHashes(s.failed), repeatHashes(s.refusing)
 	for _, h := range s.health {
 		d.Health = append(d.Health, h)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -12,12 +12,12 @@
 	"rhubarbspread/core/event"
 	"rhubarbspread/core/member"
 	"rhubarbspread/core/once"
+	"rhubarbspread/core/quota"
 	"rhubarbspread/io/peer/wire"
 
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
-	"storj.io/drpc/drpcserver"
 )
 
 // Parameters of the protocol.
@@ -41,6 +41,9 @@
 	documentBody func(digest string) []byte
 	pushRequests chan struct{} // holds at most one request, which covers all facts that are new by then
 	partitioned  func(address string) bool
+	connLimit    int
+	onLimit      func(limit, client string)
+	requests     quota.Budget // of the bytes that the server has received
 
 	bytesIn, bytesOut atomic.Int64
 }
@@ -72,6 +75,8 @@
 		documentBody: func(string) []byte { return nil },
 		pushRequests: make(chan struct{}, 1),
 		partitioned:  func(string) bool { return false },
+		connLimit:    defaultConns,
+		onLimit:      func(string, string) {},
 	}
 	for _, o := range opts {
 		o(p)
@@ -99,7 +104,7 @@
 		return ended
 	}
 	go func() {
-		err := drpcserver.New(mux).Serve(ctx, tls.NewListener(&countingListener{l, p}, p.tls))
+		err := p.boundedServer(mux).Serve(ctx, p.bounded(l))
 		if ctx.Err() != nil {
 			err = nil
 		}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -9,6 +11,9 @@
 	"rhubarbspread/core/event"
 	"rhubarbspread/core/member"
 	"rhubarbspread/io/peer"
+	"rhubarbspread/io/peer/wire"
+
+	"storj.io/drpc/drpcconn"
 )
 
 // startNode starts a node that serves on loopback until the test ends.
@@ -67,3 +72,34 @@
 		t.Error("a short secret was accepted")
 	}
 }
+
+// TestFullSynchronisationOfALargeFleetIsTaken guards against limits on requests that refuse the largest one of a fleet of 1,000.
+func TestFullSynchronisationOfALargeFleetIsTaken(t *testing.T) {
+	swim, _, self := startNode(t, "a", "a secret of all nodes")
+	config, err := peer.TLSConfig("a secret of all nodes")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := tls.Dial("tcp", self.Address, config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := drpcconn.New(c)
+	defer conn.Close()
+	const nodes, facts, factBytes = 1000, 4096, 300
+	p := &wire.Packet{From: &wire.Node{Name: "b", Address: "127.0.0.1:1", Incarnation: 1}, Whole: true}
+	for i := range nodes {
+		p.Nodes = append(p.Nodes, &wire.Node{Name: fmt.Sprint("n", i), Address: "127.0.0.1:1", Admin: "127.0.0.1:2", DataCentre: "z", Incarnation: 1})
+	}
+	for i := range facts {
+		p.Facts = append(p.Facts, &wire.Fact{Kind: "k", Key: fmt.Sprint(i), Version: 1, Value: make([]byte, factBytes)})
+	}
+	for range 3 { // on one connection, each after the answer to the one before
+		if _, err := wire.NewDRPCPeerClient(conn).Exchange(t.Context(), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := swim.Fact("k", fmt.Sprint(facts-1)); !ok {
+		t.Error("the last fact did not arrive")
+	}
+}
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -12,15 +12,19 @@
 	"time"
 
 	"rhubarbspread/io/hop"
+	"rhubarbspread/io/ports"
 )
 
 // Times and limits of tunnels.
 const (
 	connectTimeout = 300 * time.Millisecond // for the relay's own connection; the other node waits for it
 	headTimeout    = time.Second            // to receive the head of a request
-	maxHeadBytes   = 4 << 10                // of a request
+	maxHeadBytes   = 4 << 10                // of a request; net/http adds 4 KiB
 	maxTunnels     = 512                    // two sockets, two goroutines and some 42 KB each
-	bufferBytes    = 8 << 10                // per direction
+	// maxOpening is how many connections may wait for a head or for an upstream: the first takes up to headTimeout, the second up to
+	// connectTimeout.
+	maxOpening  = 128
+	bufferBytes = 8 << 10 // per direction
 	// unackedTimeout is longer than that of connections to upstreams: a node whose caller reads slowly stops reading, which
 	// counts as unacknowledged bytes here.
 	unackedTimeout = 30 * time.Second
@@ -40,6 +44,7 @@
 	refuses func() bool
 	open    atomic.Int64 // tunnels that are open or being opened
 	limit   int64
+	onLimit func(limit, client string) // called when a limit refuses or closes a connection
 
 	mu      sync.Mutex
 	closed  bool
@@ -47,9 +52,30 @@
 	running sync.WaitGroup // of handlers
 }
 
+// Names of the limits that WithOnLimit's function gets.
+const (
+	limitTunnels = "tunnels"
+	limitOpening = "tunnels-opening"
+)
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithLimit sets how many tunnels may be open; the default is 512, which is also the most.
+func WithLimit(limit int) Option {
+	return func(s *Server) { s.limit = int64(max(1, min(limit, maxTunnels))) }
+}
+
+// WithOnLimit sets a function that is called when a limit refuses or closes the connection of a client.
+func WithOnLimit(f func(limit, client string)) Option { return func(s *Server) { s.onLimit = f } }
+
 // New returns a server that Run starts; refuses reports whether it takes no new tunnels now.
-func New(dial DialFunc, refuses func() bool) *Server {
-	return &Server{dial: dial, refuses: refuses, limit: maxTunnels, tunnels: make(map[*tunnel]bool)}
+func New(dial DialFunc, refuses func() bool, opts ...Option) *Server {
+	s := &Server{dial: dial, refuses: refuses, limit: maxTunnels, onLimit: func(string, string) {}, tunnels: make(map[*tunnel]bool)}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Open returns the number of tunnels that are open or being opened.
@@ -67,8 +93,10 @@
 
 func (s *Server) serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler: s, ReadHeaderTimeout: headTimeout, MaxHeaderBytes: maxHeadBytes, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: s, ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout, MaxHeaderBytes: maxHeadBytes,
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
+	ports.LimitConns(server, maxOpening, true, func(c net.Conn) { s.onLimit(limitOpening, c.RemoteAddr().String()) })
 	server.SetKeepAlivesEnabled(false)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
@@ -134,7 +162,11 @@
 	}
 	defer s.running.Done()
 	defer s.open.Add(-1)
-	if s.open.Add(1) > s.limit || s.refuses() {
+	open := s.open.Add(1)
+	if open > s.limit {
+		s.onLimit(limitTunnels, r.RemoteAddr)
+	}
+	if open > s.limit || s.refuses() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
