Put limits, admission control and explain-route into the nodes

Cause: io/entry read each body whole without a bound over all, and heads were bounded by the HTTP server's default.

Change: heads, bodies and connections of callers are charged while they arrive; admission, demand and the queue are called from the path that serves requests; rhubarbspread explain-route asks a node where a request would go now.

--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -81,7 +81,7 @@
 	return []group{
 		{"daemons", []subcommands.Command{&nodeCommand{output: out}, &demoCommand{output: out}, loadCommand(out)}},
 		{"documents", documentCommands(out)},
-		{"operation", operateCommands(out)},
+		{"operation", append(operateCommands(out), explainRouteCommand(out))},
 		{"help", []subcommands.Command{&versionCommand{output: out}, &explainCommand{output: out}}},
 	}
 }
--- a/io/cli/node.go
+++ b/io/cli/node.go
@@ -6,7 +6,9 @@
 	"flag"
 	"os"
 
+	"rhubarbspread/core/admit"
 	"rhubarbspread/io/daemon"
+	"rhubarbspread/io/entry"
 	"rhubarbspread/io/logs"
 	plat "rhubarbspread/platform"
 
@@ -19,6 +21,10 @@
 	config  daemon.Config
 	verbose bool
 	metrics int // port of the metrics page on the users' platform, 0 for none
+	// admission says for which services admission control is in force on the users' platform.
+	admission string
+	// explainKeyFile holds the secret of those who may ask where requests would go; "" for nobody.
+	explainKeyFile string
 }
 
 // Name returns the subcommand's name.
@@ -49,6 +55,10 @@
 	f.StringVar(&c.config.List, "list", "", "IP:port of the platform's list of VMs")
 	f.StringVar(&c.config.Policy, "policy", "finish", "routing policy; see explain")
 	f.IntVar(&c.metrics, "metrics-port", 0, "port of the page of figures on the users' platform, 0 for none")
+	f.StringVar(&c.admission, "admission", string(admit.Auto),
+		"admission control on the users' platform: auto (engines whose routes differ in priority or whose cards are uneven), on (all engines), off")
+	f.StringVar(&c.explainKeyFile, "explain-key-file", "",
+		"file with the secret for explain-route on the users' platform, served at the metrics port; \"\" for off")
 	f.BoolVar(&c.verbose, "verbose", false, "log details")
 }
 
@@ -80,6 +90,17 @@
 
 // runOnPlatform runs the daemon with the settings file that the users' platform has written.
 func (c *nodeCommand) runOnPlatform(ctx context.Context, path string) subcommands.ExitStatus {
+	mode, err := admit.ParseMode(c.admission)
+	if err != nil {
+		return c.failf(exitUsage, "%v", err)
+	}
+	explainKey, err := readSecret(c.explainKeyFile)
+	if err != nil {
+		return c.failf(exitUsage, "%v", err)
+	}
+	if explainKey != "" && c.metrics == 0 {
+		return c.failf(exitUsage, "-explain-key-file needs -metrics-port")
+	}
 	logWriter := logs.NewBounded(c.stdout)
 	// The log writer outlives ctx, so that it writes the lines of the shutdown too.
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
@@ -87,7 +108,7 @@
 	defer func() { stopLog(); <-written }()
 	log := logs.New(logWriter, c.verbose)
 	logs.RedirectLogx(log)
-	err := plat.Run(ctx, path, c.metrics, log)
+	err = plat.Run(ctx, path, c.metrics, log, entry.WithAdmission(mode), entry.WithExplainKey(explainKey))
 	var invalid *plat.SettingsError
 	switch {
 	case errors.As(err, &invalid):
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"rhubarbspread/core/call"
@@ -31,6 +32,7 @@
 	"rhubarbspread/io/model"
 	"rhubarbspread/io/peer"
 	"rhubarbspread/io/plain"
+	"rhubarbspread/io/ports"
 	"rhubarbspread/io/serve"
 	"rhubarbspread/io/stats"
 	"rhubarbspread/io/table"
@@ -45,7 +47,12 @@
 	shutdownTimeout    = 60 * time.Second // for requests in flight to end
 	readHeaderTimeout  = 5 * time.Second
 	readTimeout        = 30 * time.Second
-	maxHeaderBytes     = 32 << 10
+	maxHeaderBytes     = 32 << 10 // net/http adds 4 KiB
+	maxAdminConns      = 64
+	maxFDs             = 20_000           // descriptors that are counted on where the process may open more
+	filesReserved      = 200              // descriptors for files
+	callerConnShare    = 0.4              // of the other descriptors; upstreams, the platform and other nodes need the rest
+	peerConnShare      = 0.15             // likewise, for connections that other nodes open
 	defaultRetryShare  = 0.1              // until a document is in force
 	quarantineTime     = 10 * time.Minute // until a document is in force; also the lifetime of crash facts
 )
@@ -173,7 +180,8 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	n.swim = member.New(self, member.WithOnFact(n.onFact), member.WithOnNodes(n.onNodes))
-	n.peer = peer.New(n.swim, n.clock, tlsConfig, peer.WithTokenStates(n.tokenState), peer.WithDocuments(n.documentBody))
+	n.peer = peer.New(n.swim, n.clock, tlsConfig, peer.WithTokenStates(n.tokenState), peer.WithDocuments(n.documentBody),
+		peer.WithConnLimit(maxConns(peerConnShare)), peer.WithOnLimit(n.peerLimited))
 	return nil
 }
 
@@ -203,7 +211,7 @@
 		relay.WithMarkSender(n.publishMark),
 		relay.WithNodeRank(func(key uint64) int { return limit.Rank(n.config.Node, n.control.View().Nodes(), key) }))
 	executor := call.New(plain.New(hosts), n.budget, n.ledger, n.ring)
-	n.callers = serve.NewCallerAPI(n.config.Node, n.control.View, n.relay, executor, n.ring, n.stats)
+	n.callers = serve.NewCallerAPI(n.config.Node, n.control.View, n.relay, executor, n.ring, n.stats, n.log)
 	n.publishStats()
 }
 
@@ -264,9 +272,9 @@
 	}
 	// Each HTTP server of the library replaces the log writer when it is created.
 	logs.RedirectLogx(n.log)
-	callers := httpServer(handler)
-	admin := httpServer(adminHandler)
-	parts = append(parts, serveHTTP(callers, n.callersListener), serveHTTP(admin, n.adminListener))
+	callers := n.httpServer(handler, "callers", maxConns(callerConnShare))
+	admin := n.httpServer(adminHandler, "admin", maxAdminConns)
+	parts = append(parts, serveHTTP(callers, n.callers.LimitHeads(callers, n.callersListener)), serveHTTP(admin, n.adminListener))
 	n.log.Info("node-started", "callers", n.CallersAddress(), "peers", n.PeersAddress(), "admin", n.AdminAddress())
 	ended := collectResults(parts)
 	running := len(parts)
@@ -295,14 +303,37 @@
 	return ended
 }
 
-func httpServer(h http.Handler) *http.Server {
-	return &http.Server{
+// httpServer returns a server whose open connections are limited; name is that of its port in logs and counters.
+func (n *Node) httpServer(h http.Handler, name string, conns int) *http.Server {
+	s := &http.Server{
 		Handler:           h,
+		ConnContext:       serve.WithConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       2 * readTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	closed := n.stats.Counter("connections-closed-" + name + "-total")
+	ports.LimitConns(s, conns, false, func(c net.Conn) {
+		closed.Add(1)
+		n.log.Info("connection-closed", "caller", c.RemoteAddr().String(), "limit", name+"-connections")
+	})
+	return s
+}
+
+// peerLimited counts and logs a connection of another node that a limit has closed.
+func (n *Node) peerLimited(limitName, client string) {
+	n.stats.Counter("closed-by-" + limitName + "-total").Add(1)
+	n.log.Info("connection-closed", "caller", client, "limit", limitName)
+}
+
+// maxConns returns how many connections a share of the sockets allows, by the process's own limit on descriptors.
+func maxConns(share float64) int {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur > maxFDs {
+		files.Cur = maxFDs
+	}
+	return max(1, int(share*(float64(files.Cur)-filesReserved)))
 }
 
 func serveHTTP(s *http.Server, l net.Listener) <-chan error {
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -25,6 +25,7 @@
 	MetricsAddress   string   // IP:port of the metrics page, or "" for none
 
 	MemoryMB int     // memory of the VM
+	MaxFDs   int     // descriptors of the process; 0 if unknown
 	Cores    float64 // of the VM, in whole ones at full speed; 0 if unknown
 	LinkMbps float64 // bandwidth of the VM's link in Mbit/s; 0 if unknown
 
@@ -35,6 +36,7 @@
 	RetryShare        float64       // retries per first attempt, of all nodes together
 	RetryExtra        float64       // further retries in a window, of all nodes together
 	RetryWindow       time.Duration
+	RequiresTeams     bool // only callers of a team may use routes that are not public, whatever the configuration has
 }
 
 // capacity returns the VM's capacity for work for other nodes, as mesh.Node has it.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -63,7 +63,8 @@
 	}
 	for _, tc := range tests {
 		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(tc.body))
-		body, refusal := readBody(r, rules.Limits{BodyBytes: tc.limit})
+		h := (&Node{}).hold(r.Context())
+		body, refusal := h.readBody(r, rules.Limits{BodyBytes: tc.limit})
 		switch {
 		case tc.status == 0 && (refusal != nil || string(body) != tc.body):
 			t.Errorf("%s: %v", tc.name, refusal)
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rhubarbspread/core/proxy"
+	"rhubarbspread/core/quota"
 	"rhubarbspread/core/rules"
 	"rhubarbspread/io/hop"
 )
@@ -20,7 +21,6 @@
 	unavailableRetryAfter = time.Second            // Retry-After while the node does not know what it may serve
 	elsewhereRetryAfter   = 50 * time.Millisecond  // Retry-After where another node can serve the request
 	defaultBodyBytes      = 4 << 20                // largest body where the configuration sets no limit
-	bodyTimeout           = 10 * time.Second       // to receive a caller's body; not enforced
 	writeGrace            = 500 * time.Millisecond // beyond a request's deadline, for the caller to read the answer
 	maxDrainedBytes       = 64 << 10               // read of a refused request's body, to keep the connection usable
 )
@@ -35,10 +35,15 @@
 	n.activeRequests.Add(1)
 	defer n.activeRequests.Add(-1)
 	s := &sink{w: w, rc: http.NewResponseController(w), stopping: n.stopping.Load}
-	q, refusal := f.admit(r, arrived)
+	h := n.hold(r.Context())
+	defer h.account.Close()
+	q, refusal := f.admit(r, arrived, h, s.rc)
 	if refusal == nil {
 		refusal = f.stopRefusal(q)
 	}
+	if !h.account.Serve() && refusal == nil {
+		refusal = h.shortRefusal(quota.ErrEvicted)
+	}
 	if refusal == nil {
 		_ = s.rc.SetWriteDeadline(q.ExpiresAt.Add(writeGrace))
 		err := n.executor.Run(r.Context(), q, s)
@@ -52,20 +57,20 @@
 		}
 	} else {
 		n.log.Info("request-refused", "request", n.platform.Headers.ReadCallerHeaders(r.Header).ID,
-			"status", refusal.Status, "cause", refusal.Cause)
-		_, _ = io.CopyN(io.Discard, r.Body, maxDrainedBytes)
+			"status", refusal.Status, "cause", refusal.Cause, "limit", h.limit)
+		n.countRefusal(h.limit)
 	}
-	s.refuse(refusal)
+	h.refuse(s, r, refusal)
 }
 
 // admit reads a request and checks it against the configuration; it returns a refusal if the request can't be served.
-func (f *front) admit(r *http.Request, arrived time.Time) (*proxy.Request, *proxy.Refusal) {
+func (f *front) admit(
+	r *http.Request, arrived time.Time, h *held, rc *http.ResponseController,
+) (*proxy.Request, *proxy.Refusal) {
 	n := f.node
 	v := n.view.Load()
 	if v == nil || v.Rules == nil {
-		return nil, &proxy.Refusal{
-			Status: http.StatusServiceUnavailable, Cause: "no configuration yet", RetryAfter: unavailableRetryAfter,
-		}
+		return nil, noConfiguration()
 	}
 	if limit := v.Rules.Limits().HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &proxy.Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Cause: "the headers are too large"}
@@ -74,33 +79,63 @@
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
 	}
-	path, _, _ := strings.Cut(uri, "?")
-	route := v.Rules.Match(r.Host, path)
-	if route == nil {
-		return nil, f.configRefusal(v, http.StatusNotFound, "no route for the host and path")
-	}
 	q := &proxy.Request{
-		CallerHeaders: n.platform.Headers.ReadCallerHeaders(r.Header), Method: r.Method, URI: uri, Host: r.Host, Route: route,
+		CallerHeaders: n.platform.Headers.ReadCallerHeaders(r.Header), Method: r.Method, URI: uri, Host: r.Host,
 		Header: forwardedHeaders(r.Header), Team: rules.Team{Priority: -1},
 	}
+	refusal := f.resolve(v, q, func(t *rules.Route) string { return t.Service(rand.Float64()) })
+	if refusal != nil {
+		if q.Route != nil && n.lacksTeams(v.Rules) && !q.Route.Public {
+			n.stats.Count("refused-without-teams")
+		}
+		return nil, refusal
+	}
+	q.ExpiresAt = arrived.Add(requestTimeout(q.Route, q.Deadline))
+	if r.ContentLength == 0 {
+		return q, nil
+	}
+	// A body may take as long as the request: its caller waits no longer.
+	_ = rc.SetReadDeadline(q.ExpiresAt)
+	if q.Body, refusal = h.readBody(r, v.Rules.Limits()); refusal == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+	return q, refusal
+}
+
+// noConfiguration returns the refusal of all requests until the node has a configuration.
+func noConfiguration() *proxy.Refusal {
+	return &proxy.Refusal{Status: http.StatusServiceUnavailable, Cause: "no configuration yet", RetryAfter: unavailableRetryAfter}
+}
+
+// resolve finds the route, the team and the service of a request; it returns a refusal if the configuration has none.
+func (f *front) resolve(v *View, q *proxy.Request, choose func(*rules.Route) string) *proxy.Refusal {
+	path, _, _ := strings.Cut(q.URI, "?")
+	route := v.Rules.Match(q.Host, path)
+	if route == nil {
+		return f.configRefusal(v, http.StatusNotFound, "no route for the host and path")
+	}
+	q.Route = route
+	if f.node.lacksTeams(v.Rules) && !route.Public {
+		return &proxy.Refusal{
+			Status: http.StatusServiceUnavailable, Cause: "the configuration has no teams, which the settings require",
+			RetryAfter: unavailableRetryAfter,
+		}
+	}
 	if v.Rules.NeedsKey(route) {
 		team, ok := v.Rules.Team(q.APIKey)
 		if !ok {
-			return nil, f.configRefusal(v, http.StatusUnauthorized, "the key is unknown")
+			return f.configRefusal(v, http.StatusUnauthorized, "the key is unknown")
 		}
 		q.Team = team
 	}
-	q.Service = v.Rules.Service(route.Service(rand.Float64()))
+	q.Service = v.Rules.Service(choose(route))
 	if q.Service == nil {
-		return nil, &proxy.Refusal{
+		return &proxy.Refusal{
 			Status: http.StatusServiceUnavailable, Cause: "the route's service is not configured",
 			RetryAfter: unavailableRetryAfter,
 		}
 	}
-	q.ExpiresAt = arrived.Add(requestTimeout(route, q.Deadline))
-	var refusal *proxy.Refusal
-	q.Body, refusal = readBody(r, v.Rules.Limits())
-	return q, refusal
+	return nil
 }
 
 // stopRefusal refuses a request, such as one behind a long stream on a kept connection, that a stop may cut off before it ends;
@@ -167,25 +202,6 @@
 	return out
 }
 
-// readBody reads a request's body within the limits.
-func readBody(r *http.Request, limits rules.Limits) ([]byte, *proxy.Refusal) {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, &proxy.Refusal{Status: http.StatusRequestEntityTooLarge, Cause: "the body is too large"}
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, &proxy.Refusal{Status: http.StatusBadRequest, Cause: "the body broke off: " + err.Error()}
-	}
-	if int64(len(body)) > limit {
-		return nil, &proxy.Refusal{Status: http.StatusRequestEntityTooLarge, Cause: "the body is too large"}
-	}
-	return body, nil
-}
-
 // sink writes the answer to one caller.
 type sink struct {
 	w           http.ResponseWriter
@@ -227,7 +243,9 @@
 	if s.stopping() {
 		h.Set("Connection", "close")
 	}
+	text := r.Cause + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text))) // so that the answer is complete before the connection closes
 	s.w.WriteHeader(r.Status)
-	_, _ = io.WriteString(s.w, r.Cause+"\n")
+	_, _ = io.WriteString(s.w, text)
 }
--- a/io/entry/idle.go
+++ b/io/entry/idle.go
@@ -7,9 +7,10 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"rhubarbspread/core/quota"
 )
 
 // Times for callers' connections at a stop.
@@ -32,9 +33,9 @@
 func (n *Node) newCallerServer(l net.Listener, h http.Handler) *callerServer {
 	return &callerServer{
 		Server: http.Server{
-			Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: n.trackConn, ErrorLog: discardLog(),
+			Handler: countRequests(h), ReadHeaderTimeout: headerTimeout, ConnState: n.trackConn, ConnContext: withConn, ErrorLog: discardLog(),
 		},
-		listener: &callerListener{l, &n.keptConns}, ended: make(chan struct{}),
+		listener: newCallerListener(l, n), ended: make(chan struct{}),
 	}
 }
 
@@ -47,14 +48,17 @@
 // callerListener accepts connections that can be ended without losing what has arrived on them.
 type callerListener struct {
 	net.Listener
-	kept *atomic.Int64
+	node  *Node
+	crowd *crowd
 }
 
 // Accept returns the next connection.
 func (l *callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp, kept: l.kept}, err
+		cc := &callerConn{TCPConn: tcp, node: l.node, crowd: l.crowd}
+		l.crowd.add(cc)
+		return cc, err
 	}
 	return c, err
 }
@@ -69,26 +73,49 @@
 )
 
 // callerConn is a connection of a caller. net/http calls it idle until it has parsed the whole head of the next request;
-// callerConn knows whether any byte has arrived. It is never closed here: net/http closes it when its read ends.
+// callerConn knows whether any byte has arrived. net/http closes it when its read ends.
 type callerConn struct {
 	*net.TCPConn
-	kept *atomic.Int64 // counts connections on which a request turned out to have arrived when they were to end
+	node  *Node
+	crowd *crowd
 
 	mu     sync.Mutex
 	phase  connPhase
 	ending bool // the read deadline is in the past, so that the read that waits for the next request ends
+	head   connHead
+	// lostTo is the limit that has ended the read of the request that arrives, or "": the read deadline stays in the past until
+	// the refusal.
+	lostTo      string
+	readsBody   bool
+	progressAt  time.Time // when something last arrived
+	lingerUntil time.Time // read deadline after a refusal; zero before
+	hasPlace    bool      // among those that may linger beyond the limit on connections
+	closed      bool
+	account     *quota.Account // of the request that arrives or is served, or nil
 }
 
-// Read reads what has arrived. A read that is ended looks at the socket first.
+// Read reads what has arrived, and of a head not more than the configuration allows. A read that is ended looks at the socket first.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	room := c.headRoom(len(p))
+	if room == 0 && len(p) > 0 {
+		return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, limitHead)
+	}
+	n, err := c.TCPConn.Read(p[:room])
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
-		if n = c.readArrived(p); n > 0 {
+		if n = c.readArrived(p[:room]); n > 0 {
 			err = nil
 		}
 	}
 	if n > 0 {
 		c.begin()
+		if c.chargeHead(p[:n]) != nil {
+			return 0, c.refuseHead(http.StatusServiceUnavailable, limitBytes)
+		}
+	}
+	if err != nil {
+		if limit := c.endHead(); limit != "" {
+			return 0, c.refuseHead(http.StatusServiceUnavailable, limit)
+		}
 	}
 	return n, err
 }
@@ -125,9 +152,12 @@
 		c.keep(t)
 		return nil
 	}
-	if c.ending {
+	if c.ending || c.lostTo != "" {
 		return nil
 	}
+	if !c.lingerUntil.IsZero() && (t.IsZero() || t.After(c.lingerUntil)) {
+		return c.TCPConn.SetReadDeadline(c.lingerUntil)
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
@@ -144,14 +174,14 @@
 	if c.phase == connIdle || c.ending {
 		c.keep(time.Now().Add(headerTimeout))
 	}
-	c.phase = connBusy
+	c.phase, c.progressAt = connBusy, time.Now()
 }
 
 // keep takes back that the connection is to end and sets its read deadline; c.mu is held.
 func (c *callerConn) keep(deadline time.Time) {
 	if c.ending {
 		c.ending = false
-		c.kept.Add(1)
+		c.node.keptConns.Add(1)
 	}
 	c.phase = connBusy
 	_ = c.TCPConn.SetReadDeadline(deadline)
@@ -161,6 +191,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
+	c.head.parsed = true
+	if p != connBusy {
+		c.head, c.progressAt = connHead{arriving: true}, time.Now()
+	}
 }
 
 // end ends the connection unless a request has begun to arrive, and reports whether it does.
@@ -182,6 +216,7 @@
 	switch s {
 	case http.StateNew:
 		n.callerConns.Add(1)
+		n.resizeBudget()
 		phase = connNew
 	case http.StateActive:
 		phase = connBusy
@@ -189,6 +224,7 @@
 		phase = connIdle
 	case http.StateClosed, http.StateHijacked:
 		n.callerConns.Add(-1)
+		n.resizeBudget()
 		return
 	}
 	if cc, ok := c.(*callerConn); ok {
--- a/io/entry/idle_test.go
+++ b/io/entry/idle_test.go
@@ -29,6 +29,7 @@
 	idle     chan struct{} // receives each time that a connection becomes idle
 	resume   chan struct{} // if not nil, a connection that became idle is not read until it is closed
 	block    chan struct{} // a request for /block is answered once it is closed
+	begun    chan struct{} // receives a value when a request for /block is served
 	log      lineLog
 }
 
@@ -85,7 +86,7 @@
 	}
 	s := &testServer{
 		node: &Node{tunnels: tunnel.New(nil, nil)}, listener: &signalListener{l, make(chan struct{})}, idle: make(chan struct{}, 1000), resume: resume,
-		block: make(chan struct{}),
+		block: make(chan struct{}), begun: make(chan struct{}, 1000),
 	}
 	s.node.log = funcr.New(s.log.write, funcr.Options{})
 	s.node.settings.Store(&Config{GracePeriod: answerWait})
@@ -94,6 +95,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if r.URL.Path == "/block" {
+			s.begun <- struct{}{}
 			<-s.block
 		}
 		_, _ = io.WriteString(w, r.URL.Path)
@@ -365,7 +367,7 @@
 	}
 	defer caller.Close()
 	n := &Node{}
-	conn, err := (&callerListener{l, &n.keptConns}).Accept()
+	conn, err := newCallerListener(l, n).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -10,13 +10,16 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbspread/core/admit"
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/crash"
+	"rhubarbspread/core/demand"
 	"rhubarbspread/core/event"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/lease"
 	"rhubarbspread/core/place"
 	"rhubarbspread/core/proxy"
+	"rhubarbspread/core/quota"
 	"rhubarbspread/core/reach"
 	"rhubarbspread/core/retry"
 	"rhubarbspread/core/rules"
@@ -54,6 +57,7 @@
 	view           atomic.Pointer[View]
 	board          *board.Board
 	budget         *retry.Window
+	admissions     *admissions
 	dial           hop.DialFunc // how this node itself connects to upstreams
 	reach          *reacher
 	cutAt          time.Time // begin of the latest cut from the upstreams; used by the goroutine of reach
@@ -73,6 +77,12 @@
 	callerConns    atomic.Int64
 	waitingConns   sync.Map     // callers' net.Conns without a request, each with its waiting
 	keptConns      atomic.Int64 // connections that were to be closed and on which a request had arrived
+	callerBudget   quota.Budget // of the bytes of callers' requests
+	bodyBytes      atomic.Int64 // largest body by the configuration in force
+	lingering      atomic.Int64 // refused connections that are still read
+	explainKey     string       // secret of those who may ask for explanations, or "" for none
+	explaining     atomic.Bool  // a query is being answered
+	cutting        atomic.Bool  // a stop cuts off the callers that are left
 	stats          *stats.Set
 	announced      atomic.Bool   // this node's row has been written
 	rowLost        chan struct{} // receives a value when the store no longer has that row
@@ -95,14 +105,19 @@
 // WithDial sets how the node itself connects to upstreams; the default is hop.DialDirect.
 func WithDial(dial hop.DialFunc) Option { return func(n *Node) { n.dial = dial } }
 
+// WithAdmission sets for which services admission control is in force; the default is admit.Auto.
+func WithAdmission(m admit.Mode) Option { return func(n *Node) { n.admissions.mode = m } }
+
 // New returns a node that Run starts.
 func New(c Config, p Platform, log logr.Logger, opts ...Option) *Node {
 	tracker := reach.New()
+	admissions := &admissions{mode: admit.Auto, log: log.WithValues("node", c.Node), meter: demand.New(c.DataCentre)}
 	n := &Node{
-		dial:   hop.DialDirect,
-		config: c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
+		admissions: admissions,
+		dial:       hop.DialDirect,
+		config:     c, platform: p, log: log.WithValues("node", c.Node), started: time.Now(),
 		board: board.New(board.WithNode(mesh.NameHash(c.Node)), board.WithDataCentre(c.DataCentre), board.WithLogger(log.WithValues("node", c.Node)),
-			board.WithOwnFault(tracker.IsSuspected)),
+			board.WithOwnFault(tracker.IsSuspected), board.WithOnFreed(admissions.wake)),
 		stats: stats.New(), rowLost: make(chan struct{}, 1),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeFailing: make(map[store.Topic]bool), storeReadAt: make(map[store.Topic]time.Time),
@@ -113,6 +128,7 @@
 		o(n)
 	}
 	n.settings.Store(&c)
+	n.sizeBudget(nil)
 	n.keeper = crash.NewKeeper()
 	n.setUpReach(tracker)
 	n.pool = hop.NewPool(func() { n.stats.Count("connections-to-upstreams") }, hop.WithDial(n.reach.dial),
@@ -125,10 +141,11 @@
 	n.mesh = mesh.New(mesh.Config{
 		Node: c.Node, DataCentre: c.DataCentre, DatagramAddress: c.DatagramAddress, RPCAddress: c.RPCAddress,
 		Capacity: c.capacity(),
-	}, n.board, n.storeState, n.otherNodes, n.crashes, n.budget, n.log)
+	}, n.board, n.storeState, n.otherNodes, n.crashes, n.budget, n.log, mesh.WithDemand(n.admissions), mesh.WithMeter(n.admissions.meter),
+		mesh.WithConnLimit(maxControlConns(&c)), mesh.WithOnLimit(n.logClosed), mesh.WithCounter(n.stats.Count))
 	n.executor = proxy.New(proxy.Dependencies{
 		Transport: &transport{pool: n.pool, headers: p.Headers, node: n}, Engines: n.engines, Board: n.board, Fleet: n,
-		Budget: n.budget, Crashes: n.crashes, Broadcast: n.mesh.BroadcastMark, Meter: n.stats, Log: n.log,
+		Budget: n.budget, Crashes: n.crashes, Broadcast: n.mesh.BroadcastMark, Meter: n.stats, Log: n.log, Gate: n.admissions,
 	})
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(restAwareEngines{n.engines, n.board}, n.lease.Valid, n.log)
@@ -136,6 +153,15 @@
 	n.stats.Gauge("quarantines", func() any { return len(n.crashes.List()) })
 	n.stats.Gauge("limited-upstreams", func() any { return n.board.LimitedUpstreams() })
 	n.stats.Gauge("resting-upstreams", func() any { return n.board.RestingUpstreams() })
+	n.stats.Gauge("admission-level", func() any { return n.admissions.level() })
+	n.stats.Gauge("admission-waiting", func() any { return n.admissions.waiting() })
+	n.stats.Gauge("demand-unserved-share", func() any { return n.admissions.meter.UnservedShare() })
+	n.stats.Gauge("demand-age-ms", func() any { return n.admissions.meter.Age().Milliseconds() })
+	n.stats.Gauge("demand-moves", func() any { return n.planner.DemandMoves() })
+	n.stats.Gauge("demand-entries-dropped", func() any { return n.admissions.meter.Dropped() })
+	n.stats.Gauge("caller-bytes", func() any { return n.callerBudget.Used() })
+	n.stats.Gauge("caller-bytes-limit", func() any { return n.callerBudget.Limit() })
+	n.stats.Gauge("caller-bytes-evictions", func() any { return n.callerBudget.Evicted() })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
 	n.lease.SetStandby(n.leavesLease)
@@ -234,6 +260,10 @@
 		time.Since(n.storeReadAt[store.Upstreams]) < n.settings.Load().ApplyBound
 }
 
+// lacksTeams reports whether a configuration has no list of teams although the settings require one. It says neither who may send
+// requests nor that everyone may, and taking it for open would let in all whose keys were taken away.
+func (n *Node) lacksTeams(r *rules.Rules) bool { return n.settings.Load().RequiresTeams && r.IsOpen() }
+
 // isReady reports whether the node can serve: it is not stopping, and has a configuration and upstreams.
 func (n *Node) isReady() bool {
 	v := n.view.Load()
@@ -261,7 +291,7 @@
 	go func() { served <- callerServer.serve() }()
 	closeMetrics := n.serveMetrics(served)
 	defer closeMetrics()
-	readiness := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	readiness := n.sideServer(n.readyHandler(), "readiness")
 	go func() { served <- readiness.Serve(ready) }()
 	select {
 	case <-ctx.Done():
@@ -289,7 +319,7 @@
 		n.log.Error(err, "figures-unavailable", "address", n.config.MetricsAddress)
 		return func() {}
 	}
-	page := &http.Server{Handler: n.stats.Text(), ReadHeaderTimeout: headerTimeout}
+	page := n.sideServer(n.metricsHandler(), "metrics")
 	go func() { served <- page.Serve(l) }()
 	return func() { _ = page.Close() }
 }
@@ -310,6 +340,7 @@
 	if err := n.drain(drainCtx, callerServer); err != nil {
 		n.log.Info("stop-cut", "active", n.activeRequests.Load(), "cause", err.Error())
 	}
+	n.cutting.Store(true)
 	_ = callerServer.Close()
 	n.awaitTunnels(drainCtx)
 }
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -17,7 +17,8 @@
 	n.reach.dataCentre = n.config.DataCentre
 	n.reach.relays, n.reach.upstreams = n.relays, n.allUpstreams
 	n.reach.count, n.reach.changed = n.stats.Count, n.reachChanged
-	n.tunnels = tunnel.New(n.dialForOther, func() bool { return n.stopping.Load() || tracker.IsCut() })
+	n.tunnels = tunnel.New(n.dialForOther, func() bool { return n.stopping.Load() || tracker.IsCut() },
+		tunnel.WithLimit(maxTunnels(&n.config)), tunnel.WithOnLimit(n.logClosed))
 	n.stats.Gauge("tunnels-open", func() any { return n.tunnels.Open() })
 	n.stats.Gauge("cut-off", func() any {
 		if tracker.IsCut() {
--- a/io/entry/reload.go
+++ b/io/entry/reload.go
@@ -35,6 +35,7 @@
 			continue
 		}
 		n.settings.Store(&c)
+		n.sizeBudget(n.currentRules())
 		n.budget.SetBounds(c.RetryShare, c.RetryExtra, c.RetryWindow)
 		n.log.Info("reload", "trigger", trigger, "retry-share", c.RetryShare, "retry-extra", c.RetryExtra,
 			"grace-ms", c.GracePeriod.Milliseconds())
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -165,11 +165,12 @@
 		return
 	}
 	c.rules, c.rawRules = r, row.Value
+	c.node.sizeBudget(r)
 	source := "another node"
 	if fromStore {
 		source = "store"
 	}
-	c.node.log.Info("configuration", "version", r.Version(), "routes", r.Routes(), "source", source,
+	c.node.log.Info("configuration", "version", r.Version(), "routes", r.Routes(), "lacks-teams", c.node.lacksTeams(r), "source", source,
 		"previous-answer-ms", c.node.sinceAnswer(store.Configuration).Milliseconds())
 }
 
@@ -341,6 +342,8 @@
 	for key, value := range c.rawNodes {
 		v.NodeRows = append(v.NodeRows, store.FeedRow{Key: key, Value: value})
 	}
+	c.node.admissions.configure(c.rules)
+	c.node.admissions.measure(v)
 	c.node.view.Store(v)
 	c.node.board.SetUpstreams(v.List)
 	if len(c.rawNodes) > 0 { // until then the node must not take itself for the only one
--- a/io/entry/tasks.go
+++ b/io/entry/tasks.go
@@ -95,14 +95,19 @@
 // lease.
 func (n *Node) plan(ctx context.Context) error {
 	n.awaitFleet(ctx)
+	shortages := newDemandLog(n.log)
 	for ctx.Err() == nil {
 		v := n.view.Load()
 		if v != nil && v.Rules != nil {
 			for _, s := range v.Rules.Engines() {
-				n.contain("plan", func() { n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.IsSuspected) })
+				opts := n.admissions.planOptions(s.Name)
+				n.contain("plan", func() { n.planner.Step(ctx, s.Engine, v.List.Of(s.Name), n.board.IsSuspected, opts...) })
 			}
 		}
 		if _, held := n.lease.Valid(); held && v != nil {
+			for service := range n.admissions.all() {
+				shortages.write(service, n.admissions.meter.ByDataCentre(service))
+			}
 			n.keepQuarantines(ctx, v)
 		}
 		sleep(ctx, planInterval)
--- a/io/serve/callers.go
+++ b/io/serve/callers.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -18,6 +16,7 @@
 	"rhubarbspread/core/reply"
 	"rhubarbspread/io/stats"
 
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 	"github.com/zeromicro/go-zero/rest"
 )
@@ -40,6 +39,7 @@
 	node     string
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	bodies   bodies
 
 	requests, refusals, brokenStreams                      *counter
 	timeToFirstToken, timeBetweenTokens, timeToWholeAnswer *stats.Histogram
@@ -47,9 +47,9 @@
 
 type counter struct{ add func() }
 
-// NewCallerAPI returns the interface; its metrics go to s.
+// NewCallerAPI returns the interface; its metrics go to s. Its server needs WithConn as ConnContext.
 func NewCallerAPI(
-	node string, view func() *kern.View, r *relay.Relay, e *call.Executor, ring *event.Ring, s *stats.Set,
+	node string, view func() *kern.View, r *relay.Relay, e *call.Executor, ring *event.Ring, s *stats.Set, log logr.Logger,
 ) *CallerAPI {
 	count := func(name string) *counter {
 		v := s.Counter(name)
@@ -64,6 +64,8 @@
 		timeBetweenTokens: s.Histogram("time-between-tokens-us"),
 		timeToWholeAnswer: s.Histogram("time-to-whole-answer-us"),
 	}
+	c.bodies.refused, c.bodies.log = count("refusals-by-caller-bytes-total"), log
+	s.Gauge("caller-bytes", func() any { return c.bodies.budget.Used() })
 	s.Gauge("requests-in-flight", func() any { return c.inFlight.Load() })
 	return c
 }
@@ -159,20 +161,6 @@
 	return v, team, nil
 }
 
-// readBody reads a body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *reply.Refusal) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, reply.NewRefusal(http.StatusRequestEntityTooLarge, "too-large",
-			fmt.Sprintf("a body may have %d bytes", limit))
-	case err != nil:
-		return nil, badRequest("bad-body", err.Error())
-	}
-	return raw, nil
-}
-
 func (c *CallerAPI) refuse(w http.ResponseWriter, r *reply.Refusal) {
 	c.refusals.add()
 	writeRefusal(w, r)
@@ -209,7 +197,10 @@
 			c.refuse(w, refusal)
 			return
 		}
-		raw, refusal := readBody(w, r, v.Document().Limits().BodyBytes())
+		limit := v.Document().Limits().BodyBytes()
+		account := c.bodies.open(r, limit)
+		defer account.Close()
+		raw, refusal := c.bodies.read(w, r, limit, account)
 		if refusal != nil {
 			c.refuse(w, refusal)
 			return
@@ -280,7 +271,10 @@
 		c.refuse(w, reply.NewRefusal(http.StatusNotFound, "no-service", fmt.Sprintf("no service %q for this team", name)))
 		return
 	}
-	raw, refusal := readBody(w, r, v.Document().Limits().BodyBytes())
+	limit := v.Document().Limits().BodyBytes()
+	account := c.bodies.open(r, limit)
+	defer account.Close()
+	raw, refusal := c.bodies.read(w, r, limit, account)
 	if refusal != nil {
 		c.refuse(w, refusal)
 		return
