Wait for capacity in one loop, with and without admission control

Cause: reserve and reserveInOrder were two loops over the same waits, withheld requests, rests of upstreams and refusals, so that each rule stood twice.

--- a/core/proxy/admission.go
+++ b/core/proxy/admission.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -116,68 +115,6 @@
 	return maxCapacityWait
 }
 
-// reserveInOrder waits in the queue of the service until a path has capacity for the request, and reserves it.
-func (r *run) reserveInOrder(ctx context.Context) (*board.Reservation, error) {
-	began := time.Now()
-	defer func() { r.executor.meter.Observe("wait-for-room-us", time.Since(began)) }()
-	isRaised := r.headersSent || r.ticket.Limits().Raised // a stream that broke off goes before those that have not begun
-	if isRaised {
-		r.executor.meter.Count("admission-raised")
-	}
-	wait := r.longestWait()
-	w := r.admission.Queue.Join(queue.Entry{
-		Rank: r.rank(), Raised: isRaised, Team: r.request.Team.Name, Tokens: r.tokens(), AimUntil: r.aimUntil(),
-	})
-	gotCapacity := false
-	defer func() { w.Leave(gotCapacity) }()
-	r.setAhead(w)
-	if w.IsBlocked() && r.isHopeless(w.Ahead(), wait) {
-		return nil, r.refuseHopeless(began, w)
-	}
-	until, stop := r.executor.endOfWait(r.ctx, wait)
-	defer stop()
-	isWithheld := false
-	var release <-chan time.Time // when to ask again whether the request is withheld; nil if it is not
-	for {
-		if !r.executor.isDry() || len(w.Turn()) == 0 { // the wait of a dry run is over at once, but not before a turn
-			select {
-			case <-w.Turn():
-			case <-release:
-			case <-until:
-				r.executor.endWait()
-				if isWithheld {
-					return nil, r.withheldRefusal()
-				}
-				return nil, r.refuseAdmission("no upstream has room", began, w)
-			case <-ctx.Done():
-				r.executor.endWait()
-				return nil, r.refusal("its time is over")
-			}
-		} else {
-			<-w.Turn()
-		}
-		var res *board.Reservation
-		if res, isWithheld = r.tryAdmitted(r.limitedNeed(r.excluded())); res != nil {
-			gotCapacity = true
-			r.ticket.Admit()
-			return res, nil
-		}
-		release = nil
-		if isWithheld {
-			release = time.After(withheldPoll)
-			w.Skip()
-		} else {
-			w.Pass()
-		}
-		if rest := r.restWait(); rest > maxCapacityWait {
-			return nil, r.restRefusal(rest)
-		}
-		if ahead := w.Ahead(); !isWithheld && r.isHopeless(ahead, wait-time.Since(began)) {
-			return nil, r.refuseHopeless(began, w)
-		}
-	}
-}
-
 // isHopeless reports whether the requests ahead would have to get capacity much faster than lately for this one to be in time.
 func (r *run) isHopeless(ahead int, left time.Duration) bool {
 	rate := r.admission.Queue.Rate()
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -190,11 +190,7 @@
 		}
 		return nil, r.quarantineRefusal(f, verdict)
 	}
-	reserve := r.reserve
-	if r.isInAdmission() {
-		reserve = r.reserveInOrder
-	}
-	res, err := reserve(r.ctx)
+	res, err := r.reserve(r.ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -256,42 +252,6 @@
 	return "failed-may-have-run"
 }
 
-// reserve waits until an upstream or a path has capacity for the request, and reserves it.
-func (r *run) reserve(ctx context.Context) (*board.Reservation, error) {
-	began := time.Now()
-	defer func() { r.executor.meter.Observe("wait-for-room-us", time.Since(began)) }()
-	until, stop := r.executor.endOfWait(r.ctx, maxCapacityWait)
-	defer stop()
-	for {
-		freed := r.executor.board.CapacityFreed()
-		res, isWithheld := r.tryAdmitted(r.need(r.excluded()))
-		if res != nil {
-			return res, nil
-		}
-		var release <-chan time.Time // when to ask again whether the request is withheld; nil if it is not
-		if isWithheld {
-			release = time.After(withheldPoll)
-		}
-		if wait := r.restWait(); wait > maxCapacityWait {
-			return nil, r.restRefusal(wait)
-		}
-		select {
-		case <-freed:
-		case <-release:
-		case <-until:
-			r.executor.endWait()
-			if isWithheld {
-				return nil, r.withheldRefusal()
-			}
-			r.logShortage(time.Since(began))
-			return nil, r.refusal("no upstream has room")
-		case <-ctx.Done():
-			r.executor.endWait()
-			return nil, r.refusal("its time is over")
-		}
-	}
-}
-
 // tryAdmitted reserves capacity unless the request is withheld, and reports whether it is withheld or on trial.
 func (r *run) tryAdmitted(n *board.Need) (res *board.Reservation, isWithheld bool) {
 	admission := r.executor.crashes.Admit(r.suspects)
