State the age of the list of live nodes in explain-route -all

The answer on live nodes had no age.

Change: the node answers with the time since the store last answered on the rows of nodes, in a new field. The command prints who named the others and that age in its first line, and with -json in each explanation, as the output stays an array of these. An answer without the field, as by a node of an older build, is shown as of unknown age.

--- a/io/cli/explainroute.go
+++ b/io/cli/explainroute.go
@@ -87,8 +87,9 @@
 	}
 	addresses := strings.Split(c.nodes, ",")
 	var missing []string
+	var live *entry.LiveNodes
 	if c.all {
-		if addresses, err = asker.addLiveNodes(ctx, addresses); err != nil {
+		if addresses, live, err = asker.addLiveNodes(ctx, addresses); err != nil {
 			missing = append(missing, err.Error())
 		}
 	}
@@ -96,8 +97,9 @@
 	missing = append(missing, unanswered...)
 	err = nil
 	if c.json {
-		err = c.printJSON(explanations)
+		err = c.printJSON(withLiveNodes(explanations, live))
 	} else {
+		c.printLiveNodes(live)
 		for _, x := range explanations {
 			err = errors.Join(err, c.print(x))
 		}
@@ -108,6 +110,45 @@
 	return err
 }
 
+// liveNodes says which node named the other live nodes, and how old its list was.
+type liveNodes struct {
+	Node   string `json:"node"`
+	Others int    `json:"others"`
+	AgeMS  *int64 `json:"age-ms"` // null if unknown
+}
+
+// listedExplanation is an explanation with the list of live nodes by which its node was asked.
+type listedExplanation struct {
+	*entry.RouteExplanation
+	LiveNodes *liveNodes `json:"live-nodes,omitempty"`
+}
+
+// withLiveNodes adds what is known of the list of live nodes, if there is one, to explanations. It stands in each of them, as the output
+// is an array of explanations with and without -all.
+func withLiveNodes(explanations []*entry.RouteExplanation, list *entry.LiveNodes) []listedExplanation {
+	var live *liveNodes
+	if list != nil {
+		live = &liveNodes{list.Node, len(list.Nodes), list.AgeMS}
+	}
+	listed := make([]listedExplanation, 0, len(explanations))
+	for _, x := range explanations {
+		listed = append(listed, listedExplanation{x, live})
+	}
+	return listed
+}
+
+// printLiveNodes prints who named the other live nodes for people, as a node that is missing from the list is not asked.
+func (c *explainRoute) printLiveNodes(list *entry.LiveNodes) {
+	if list == nil {
+		return
+	}
+	age := "of unknown age"
+	if list.AgeMS != nil {
+		age = fmt.Sprintf("%d ms old", *list.AgeMS)
+	}
+	c.printf("live nodes named by %s: %d others, list of nodes %s\n", list.Node, len(list.Nodes), age)
+}
+
 // print prints an explanation for people.
 func (c *explainRoute) print(x *entry.RouteExplanation) error {
 	c.printf("%s (%s), configuration %d, list %d: %s\n", x.Node, x.DataCentre, x.RulesVersion, x.ListVersion, x.Decision)
--- a/io/cli/explainroute_test.go
+++ b/io/cli/explainroute_test.go
@@ -19,7 +19,7 @@
 func TestExplainRoute(t *testing.T) {
 	var got entry.RouteQuery
 	var gotBody string
-	var live entry.LiveNodes
+	live := entry.LiveNodes{Node: "n0"} // without an age, as nodes of older builds answer
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method+r.URL.Path != "POST"+entry.ExplainPath && r.Method+r.URL.Path != "GET"+entry.ExplainNodesPath || r.Header.Get("Authorization") != "Bearer operator-secret" {
 			http.Error(w, "the secret is missing or wrong", http.StatusUnauthorized)
@@ -88,7 +88,7 @@
 		{"one of two nodes is off", []string{"-nodes", address + "," + offAddress, "-explain-key-file", secret}, 3, "caller-env",
 			[]string{"waits", offAddress + " (404: the node has no -explain-key-file or is of an older build)"}},
 		{"live nodes", []string{"-nodes", offAddress + "," + address, "-all", "-explain-key-file", secret, "-body-file", body}, 3, "caller-env",
-			[]string{"waits", offAddress + " (404: ", olderAddress + " (no JSON in the answer: the node is of an older build)", redirectAddress + " (307"}},
+			[]string{"live nodes named by n0: 4 others, list of nodes of unknown age", "waits", offAddress + " (404: ", olderAddress + " (no JSON in the answer: the node is of an older build)", redirectAddress + " (307"}},
 		{"no list of live nodes", []string{"-nodes", olderAddress, "-all", "-explain-key-file", secret}, 3, "",
 			[]string{"other live nodes, as none of these named them: " + olderAddress, olderAddress + " (no JSON"}},
 		{"no answer", []string{"-nodes", silentAddress, "-timeout", "50ms", "-explain-key-file", secret}, 3, "", []string{silentAddress + " (no answer within 50ms)"}},
--- a/io/cli/routeasker.go
+++ b/io/cli/routeasker.go
@@ -95,9 +95,9 @@
 	return a, err
 }
 
-// addLiveNodes returns the addresses with those of the other nodes that the first one to answer knows to be live. Its error names the
-// nodes that did not answer if none did.
-func (a *routeAsker) addLiveNodes(ctx context.Context, addresses []string) ([]string, error) {
+// addLiveNodes returns the addresses with those of the other nodes that the first one to answer knows to be live, and that node's list. Its
+// error names the nodes that did not answer if none did.
+func (a *routeAsker) addLiveNodes(ctx context.Context, addresses []string) ([]string, *entry.LiveNodes, error) {
 	var causes []string
 	for _, address := range addresses {
 		var list entry.LiveNodes
@@ -108,15 +108,15 @@
 		all := slices.Clone(addresses)
 		for _, n := range list.Nodes {
 			if _, err := netip.ParseAddrPort(n.Address); err != nil {
-				return all, fmt.Errorf("node %s: no address", n.Node)
+				return all, &list, fmt.Errorf("node %s: no address", n.Node)
 			}
 			if !slices.Contains(all, n.Address) {
 				all = append(all, n.Address)
 			}
 		}
-		return all, nil
+		return all, &list, nil
 	}
-	return addresses, fmt.Errorf("other live nodes, as none of these named them: %s", strings.Join(causes, ", "))
+	return addresses, nil, fmt.Errorf("other live nodes, as none of these named them: %s", strings.Join(causes, ", "))
 }
 
 // askAll returns the explanations of nodes in the order of their addresses, and the addresses of those that gave none, with the cause.
--- a/io/entry/explainnodes.go
+++ b/io/entry/explainnodes.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"time"
+
+	"rhubarbspread/core/store"
 )
 
 // ExplainNodesPath is the path on the metrics address at which a node names the other ones that can be asked.
@@ -21,6 +24,9 @@
 type LiveNodes struct {
 	Node  string     `json:"node"`
 	Nodes []LiveNode `json:"nodes"`
+	// AgeMS is the time since the store last answered on the rows of nodes, beyond which a new node may be missing; nil if it never
+	// answered, or from a node of an older build.
+	AgeMS *int64 `json:"age-ms,omitempty"`
 }
 
 // serveLiveNodes answers with the other live nodes.
@@ -28,11 +34,24 @@
 	if !n.allowsExplanation(w, r, http.MethodGet) {
 		return
 	}
-	answer := LiveNodes{Node: n.config.Node, Nodes: n.explainableNodes()}
+	age := n.nodesAge() // before they are read, so that it is not less than theirs
+	answer := LiveNodes{Node: n.config.Node, Nodes: n.explainableNodes(), AgeMS: age}
 	n.log.Info("explain-nodes", "client", r.RemoteAddr, "nodes", len(answer.Nodes))
 	n.sendExplanation(w, r, answer)
 }
 
+// nodesAge returns the time since the store's latest answer on the rows of nodes in milliseconds, or nil if there was none.
+func (n *Node) nodesAge() *int64 {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	at := n.storeReadAt[store.Nodes]
+	if at.IsZero() {
+		return nil
+	}
+	age := time.Since(at).Milliseconds()
+	return &age
+}
+
 // explainableNodes returns the other nodes that the store lists and that may be alive. Nodes known from datagrams alone are left out:
 // anyone can send one, and the command sends the operators' secret and the caller's key to the addresses named here. Metrics addresses
 // are those of the rows with this node's port, which all nodes of a deployment share.
