Ask all live nodes though one of the list has no address

Cause: explain-route -all stopped reading the list of live nodes at the first address that can't be read. The nodes after it were neither asked nor reported. Nodes of this build send no such address; the fault was found by reading the command for the test between nodes.

Change: each such node is reported by its name, and all others are asked.

Measured: the case of TestExplainRoute with such an address in the middle of the list failed before and passes now.

--- a/io/cli/explainroute_test.go
+++ b/io/cli/explainroute_test.go
@@ -71,8 +71,8 @@
 	secret, wrong, empty, key := file("secret", "operator-secret\n"), file("wrong", "other"), file("empty", "\n"), file("key", "caller-file\n")
 	body, large := file("body", "caller-body"), file("large", strings.Repeat("b", entry.MaxExplainedBody+1))
 	address := strings.TrimPrefix(node.URL, "http://")
-	for _, a := range []string{address, offAddress, olderAddress, redirectAddress} {
-		live.Nodes = append(live.Nodes, entry.LiveNode{Address: a})
+	for _, a := range []string{address, offAddress, "invalid IP:9100", olderAddress, redirectAddress} {
+		live.Nodes = append(live.Nodes, entry.LiveNode{Node: "n4", Address: a})
 	}
 	for _, tc := range []struct {
 		name    string
@@ -88,7 +88,7 @@
 		{"one of two nodes is off", []string{"-nodes", address + "," + offAddress, "-explain-key-file", secret}, 3, "caller-env",
 			[]string{"waits", offAddress + " (404: the node has no -explain-key-file or is of an older build)"}},
 		{"live nodes", []string{"-nodes", offAddress + "," + address, "-all", "-explain-key-file", secret, "-body-file", body}, 3, "caller-env",
-			[]string{"live nodes named by n0: 4 others, list of nodes of unknown age", "waits", offAddress + " (404: ", olderAddress + " (no JSON in the answer: the node is of an older build)", redirectAddress + " (307"}},
+			[]string{"live nodes named by n0: 5 others, list of nodes of unknown age", "waits", "node n4 (no address)", offAddress + " (404: ", olderAddress + " (no JSON in the answer: the node is of an older build)", redirectAddress + " (307"}},
 		{"no list of live nodes", []string{"-nodes", olderAddress, "-all", "-explain-key-file", secret}, 3, "",
 			[]string{"other live nodes, as none of these named them: " + olderAddress, olderAddress + " (no JSON"}},
 		{"no answer", []string{"-nodes", silentAddress, "-timeout", "50ms", "-explain-key-file", secret}, 3, "", []string{silentAddress + " (no answer within 50ms)"}},
--- a/io/cli/routeasker.go
+++ b/io/cli/routeasker.go
@@ -96,7 +96,7 @@
 }
 
 // addLiveNodes returns the addresses with those of the other nodes that the first one to answer knows to be live, and that node's list. Its
-// error names the nodes that did not answer if none did.
+// error names the nodes that did not answer if none did, or those of the list that have no address.
 func (a *routeAsker) addLiveNodes(ctx context.Context, addresses []string) ([]string, *entry.LiveNodes, error) {
 	var causes []string
 	for _, address := range addresses {
@@ -106,14 +106,17 @@
 			continue
 		}
 		all := slices.Clone(addresses)
+		var unknown []string
 		for _, n := range list.Nodes {
 			if _, err := netip.ParseAddrPort(n.Address); err != nil {
-				return all, &list, fmt.Errorf("node %s: no address", n.Node)
-			}
-			if !slices.Contains(all, n.Address) {
+				unknown = append(unknown, "node "+n.Node+" (no address)")
+			} else if !slices.Contains(all, n.Address) {
 				all = append(all, n.Address)
 			}
 		}
+		if len(unknown) > 0 {
+			return all, &list, errors.New(strings.Join(unknown, ", "))
+		}
 		return all, &list, nil
 	}
 	return addresses, nil, fmt.Errorf("other live nodes, as none of these named them: %s", strings.Join(causes, ", "))
