Charge events until they are written, and hold one of each stream

Cause: an event beyond 4 KiB was charged to the budget of answers only while it was read. A caller who doesn't read holds it until its time is over, uncharged, and the first event of a stream was held beside each later one. Change: a stream's events share a buffer that is charged with its capacity, and released once the event is written.

--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -25,12 +24,12 @@
 	// begin sets these.
 	outcome reply.Outcome // nil if there is an answer to pass on
 	answer  *Answer
-	reader  *bufio.Reader // of a stream's events
-	first   event         // the first event that the caller lacked when the attempt was sent
-	readErr error         // of reading the first event
-	body    []byte        // of an answer that is passed on whole
-	isAll   bool          // body is all of it
-	release func()        // returns the buffer of body; may be nil
+	events  *eventReader // of a stream
+	first   event        // the first event that the caller lacked when the attempt was sent
+	readErr error        // of reading the first event
+	body    []byte       // of an answer that is passed on whole
+	isAll   bool         // body is all of it
+	release func()       // returns the buffer of body; may be nil
 
 	firstEventAt time.Time // when the first event arrived, or zero
 	begunStamp   uint64    // of the crash registry, before the answer began
@@ -140,10 +139,10 @@
 // none with an ID.
 func (a *attempt) beginStream() {
 	r := a.run
-	a.reader = bufio.NewReaderSize(a.answer.Body, eventBufferBytes)
+	a.events = newEventReader(a.answer.Body, &r.executor.buffers)
 	last := int64(noID)
 	for {
-		a.first, a.readErr = readEvent(a.reader, &r.executor.buffers)
+		a.first, a.readErr = a.events.next()
 		last, _ = r.lastEvent() // another attempt may have gone on meanwhile
 		if a.readErr != nil || last == noID || a.first.id > last || a.first.isForeign() {
 			break
@@ -206,7 +205,7 @@
 	switch {
 	case a.outcome != nil:
 		return a.outcome
-	case a.reader != nil:
+	case a.events != nil:
 		return r.forwardEvents(a, w)
 	}
 	return r.deliverPlain(a, w)
@@ -224,6 +223,9 @@
 	if a.answer != nil {
 		_ = a.answer.Body.Close() // an answer that was read to its end has nothing left to fail
 	}
+	if a.events != nil {
+		a.events.release()
+	}
 	if a.release != nil {
 		a.release()
 	}
--- a/core/proxy/events.go
+++ b/core/proxy/events.go
@@ -35,35 +35,43 @@
 	errBuffers   = errors.New("the node holds too much of other answers")
 )
 
-// readEvent returns the next complete event. It returns io.EOF if the stream ends between events, and
-// io.ErrUnexpectedEOF if it ends within one. An event beyond bufferStepBytes is charged to the budget while it is read.
-func readEvent(r *bufio.Reader, buffers *bufferBudget) (event, error) {
+// eventReader reads the events of one stream. An event is valid until the next one is read or release is called.
+type eventReader struct {
+	from    *bufio.Reader
+	buffers *bufferBudget
+	raw     []byte // the buffer of the current event
+	charged int    // bytes of the budget, for a buffer beyond bufferStepBytes
+}
+
+func newEventReader(from io.Reader, buffers *bufferBudget) *eventReader {
+	return &eventReader{from: bufio.NewReaderSize(from, eventBufferBytes), buffers: buffers}
+}
+
+// next returns the next complete event. It returns io.EOF if the stream ends between events, and io.ErrUnexpectedEOF if it ends within
+// one. An event beyond bufferStepBytes is charged to the budget until it is released: a caller who does not read may hold it for long.
+func (r *eventReader) next() (event, error) {
+	r.release()
+	r.raw = r.raw[:0]
 	e := event{id: noID}
-	charged := 0
-	defer func() { buffers.give(charged) }()
 	for {
-		line, err := r.ReadSlice('\n')
-		for len(e.raw)+len(line) > charged+bufferStepBytes {
-			if !buffers.take(bufferStepBytes) {
-				return event{}, errBuffers
-			}
-			charged += bufferStepBytes
-		}
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
-			return event{}, errEventSize
+		line, err := r.from.ReadSlice('\n')
+		if full := r.append(line); full != nil {
+			r.release()
+			return event{}, full
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
+			if errors.Is(err, io.EOF) && len(r.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
+			r.release()
 			return event{}, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && len(e.raw) > len(line) {
+		if len(text) == 0 && len(r.raw) > len(line) {
+			e.raw = r.raw
 			return e, nil
 		}
 		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
@@ -73,3 +81,35 @@
 		}
 	}
 }
+
+// append adds a part of an event to the buffer, whose capacity doubles as needed.
+func (r *eventReader) append(part []byte) error {
+	need := len(r.raw) + len(part)
+	if need > maxEventBytes {
+		return errEventSize
+	}
+	if need > cap(r.raw) {
+		size := min(max(need, 2*cap(r.raw)), maxEventBytes)
+		charge := 0
+		if size > bufferStepBytes {
+			charge = size
+		}
+		if !r.buffers.take(charge) {
+			return errBuffers
+		}
+		grown := make([]byte, len(r.raw), size)
+		copy(grown, r.raw)
+		r.buffers.give(r.charged)
+		r.raw, r.charged = grown, charge
+	}
+	r.raw = append(r.raw, part...)
+	return nil
+}
+
+// release returns what a large event holds.
+func (r *eventReader) release() {
+	if r.charged > 0 {
+		r.buffers.give(r.charged)
+		r.raw, r.charged = nil, 0
+	}
+}
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -13,7 +13,8 @@
 // forwardEvents forwards complete events until the stream ends.
 func (r *run) forwardEvents(a *attempt, w *stallWatcher) reply.Outcome {
 	e, err := a.first, a.readErr
-	for ; err == nil; e, err = readEvent(a.reader, &r.executor.buffers) {
+	a.first = event{} // else it would be held beside each later one
+	for ; err == nil; e, err = a.events.next() {
 		if a.isResumed && e.isForeign() {
 			return foreignEvent()
 		}
@@ -31,6 +32,7 @@
 		if err := r.sink.Write(e.raw); err != nil {
 			return reply.NewUnknown(reply.Canceled, err.Error())
 		}
+		a.events.release()
 		r.recordEvent(e)
 		w.written()
 	}
--- a/core/proxy/stream_test.go
+++ b/core/proxy/stream_test.go
@@ -272,13 +272,21 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			e, err := readEvent(bufio.NewReaderSize(strings.NewReader(tc.in), 64), &bufferBudget{})
+			buffers := &bufferBudget{}
+			r := &eventReader{from: bufio.NewReaderSize(strings.NewReader(tc.in), 64), buffers: buffers}
+			e, err := r.next()
 			if !errors.Is(err, tc.err) {
 				t.Fatalf("error %v, want %v", err, tc.err)
 			}
 			if err == nil && (e.id != tc.id || string(e.raw) != tc.raw) {
 				t.Errorf("event %d of %d bytes, want %d of %d", e.id, len(e.raw), tc.id, len(tc.raw))
 			}
+			if used := buffers.used.Load(); err != nil && used != 0 || err == nil && len(e.raw) > bufferStepBytes && used < int64(len(e.raw)) {
+				t.Errorf("%d bytes are charged for an event of %d", used, len(e.raw))
+			}
+			if r.release(); buffers.used.Load() != 0 {
+				t.Errorf("%d bytes are still charged", buffers.used.Load())
+			}
 		})
 	}
 }
@@ -287,10 +295,10 @@
 	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n"))
 	f.Add([]byte("\n\n\r\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		r := bufio.NewReaderSize(strings.NewReader(string(in)), 32)
+		r := &eventReader{from: bufio.NewReaderSize(strings.NewReader(string(in)), 32), buffers: &bufferBudget{}}
 		var out []byte
 		for {
-			e, err := readEvent(r, &bufferBudget{})
+			e, err := r.next()
 			if err != nil {
 				break
 			}
