Hold a plain answer in parts, charged with their capacity

Cause: the buffer of a plain answer grew by append, which reserves a quarter more than was charged and leaves several times the size to the collector. The buffer also stayed while the rest of a large answer was passed on to a caller who doesn't read. Change: an answer is held in parts that together double, without a copy, and released before the rest is passed on. TestBufferBudgetIsShared joins the parts; its checks are the same.

--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -27,9 +27,8 @@
 	events  *eventReader // of a stream
 	first   event        // the first event that the caller lacked when the attempt was sent
 	readErr error        // of reading the first event
-	body    []byte       // of an answer that is passed on whole
+	body    *buffered    // of an answer that is no stream of events
 	isAll   bool         // body is all of it
-	release func()       // returns the buffer of body; may be nil
 
 	firstEventAt time.Time // when the first event arrived, or zero
 	begunStamp   uint64    // of the crash registry, before the answer began
@@ -112,7 +111,7 @@
 func (a *attempt) beginPlain() {
 	r, u := a.run, a.reservation.Upstream
 	var err error
-	if a.body, a.isAll, a.release, err = r.executor.buffers.readBuffered(a.answer.Body); err != nil {
+	if a.body, a.isAll, err = r.executor.buffers.readBuffered(a.answer.Body); err != nil {
 		a.outcome = r.brokenAnswer(a, err)
 		return
 	}
@@ -226,8 +225,8 @@
 	if a.events != nil {
 		a.events.release()
 	}
-	if a.release != nil {
-		a.release()
+	if a.body != nil {
+		a.body.release()
 	}
 	r.executor.meter.Count("attempts-" + outcomeName(o))
 	if _, ok := o.(reply.Done); !ok {
--- a/core/proxy/buffer.go
+++ b/core/proxy/buffer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"slices"
 	"sync/atomic"
 )
 
@@ -29,27 +28,51 @@
 
 func (b *bufferBudget) give(n int) { b.used.Add(-int64(n)) }
 
-// readBuffered reads a body to its end, or until the buffer or the budget is full. It returns what was read, whether that
-// is all, and a function that returns the budget.
-func (b *bufferBudget) readBuffered(r io.Reader) (body []byte, isAll bool, release func(), err error) {
-	charged := 0
-	release = func() { b.give(charged) }
-	for len(body) < maxBufferedBytes {
-		if len(body) == charged {
-			if !b.take(bufferStepBytes) {
-				return body, false, release, nil
-			}
-			charged += bufferStepBytes
-			body = slices.Grow(body, bufferStepBytes)
+// buffered is what has been read of an answer, in parts: a buffer that grows would leave several times its size to the collector.
+type buffered struct {
+	budget *bufferBudget
+	parts  [][]byte
+	size   int // of the parts together
+	room   int // their capacity, which is charged
+}
+
+// release drops the parts and returns what they hold.
+func (b *buffered) release() {
+	b.budget.give(b.room)
+	b.parts, b.size, b.room = nil, 0, 0
+}
+
+// grow adds a part, and reports whether the budget has room for it. Together the parts double; near the limit a part is one step.
+func (b *buffered) grow() bool {
+	size := max(bufferStepBytes, min(b.room, maxBufferedBytes-b.room))
+	if !b.budget.take(size) {
+		if size = bufferStepBytes; !b.budget.take(size) {
+			return false
+		}
+	}
+	b.parts = append(b.parts, make([]byte, 0, size))
+	b.room += size
+	return true
+}
+
+// readBuffered reads a body to its end, or until the buffer or the budget is full. It returns what was read, which has to be released,
+// and whether that is all.
+func (b *bufferBudget) readBuffered(r io.Reader) (body *buffered, isAll bool, err error) {
+	body = &buffered{budget: b}
+	for body.size < maxBufferedBytes {
+		if body.size == body.room && !body.grow() {
+			return body, false, nil
 		}
-		n, err := r.Read(body[len(body):charged])
-		body = body[:len(body)+n]
+		last := &body.parts[len(body.parts)-1]
+		n, err := r.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
+		body.size += n
 		if errors.Is(err, io.EOF) {
-			return body, true, release, nil
+			return body, true, nil
 		}
 		if err != nil {
-			return body, false, release, err
+			return body, false, err
 		}
 	}
-	return body, false, release, nil
+	return body, false, nil
 }
--- a/core/proxy/endless_test.go
+++ b/core/proxy/endless_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -133,17 +134,17 @@
 		t.Fatal("the budget is smaller than stated")
 	}
 	long := strings.Repeat("x", 3*bufferStepBytes)
-	body, isAll, release, err := b.readBuffered(strings.NewReader(long))
-	if len(body) != bufferStepBytes || isAll || err != nil {
-		t.Errorf("with one step left: %d bytes, all %v, %v", len(body), isAll, err)
+	body, isAll, err := b.readBuffered(strings.NewReader(long))
+	if body.size != bufferStepBytes || len(bytes.Join(body.parts, nil)) != bufferStepBytes || isAll || err != nil {
+		t.Errorf("with one step left: %d bytes, all %v, %v", body.size, isAll, err)
 	}
-	release()
+	body.release()
 	b.give(4 * bufferStepBytes)
-	body, isAll, release, err = b.readBuffered(strings.NewReader(long))
-	if string(body) != long || !isAll || err != nil {
-		t.Errorf("with enough left: %d bytes, all %v, %v", len(body), isAll, err)
+	body, isAll, err = b.readBuffered(strings.NewReader(long))
+	if string(bytes.Join(body.parts, nil)) != long || !isAll || err != nil {
+		t.Errorf("with enough left: %d bytes, all %v, %v", body.size, isAll, err)
 	}
-	release()
+	body.release()
 	b.give(maxBufferedTotal - 5*bufferStepBytes)
 	if used := b.used.Load(); used != 0 {
 		t.Errorf("%d bytes are still charged", used)
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -429,10 +429,13 @@
 	}
 	r.sink.Begin(a.answer.Status, a.answer.Header)
 	r.headersSent = true
-	if err := r.sink.Write(a.body); err != nil {
-		return reply.NewUnknown(reply.Canceled, err.Error())
+	for _, part := range a.body.parts {
+		if err := r.sink.Write(part); err != nil {
+			return reply.NewUnknown(reply.Canceled, err.Error())
+		}
 	}
 	if !a.isAll {
+		a.body.release() // not held while the rest is passed on
 		return r.deliverRest(a)
 	}
 	a.wroteAnswer = a.answer.isComplete()
