Fit the bytes of answers to the node's memory

Cause: all answers together may hold 16 MiB whatever the node's memory, and the buffers that each large event leaves while its buffer grows are as large as the last, so that the collector falls behind. Change: the bound is a fifth of the soft memory limit, at most 16 MiB, which the smallest VM in use reaches. The buffer of an event grows by the factor 4, and buffers of the largest size are kept for other events.

--- a/core/proxy/buffer.go
+++ b/core/proxy/buffer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"sync/atomic"
@@ -10,16 +11,19 @@
 const (
 	maxBufferedBytes = 1 << 20   // of a plain answer, before it is delivered
 	maxEventBytes    = 256 << 10 // of one event, which is forwarded whole
-	maxBufferedTotal = 16 << 20  // of all answers together
+	maxBufferedTotal = 16 << 20  // of all answers together, where Dependencies set no limit
 	bufferStepBytes  = 4 << 10   // by which a buffer is charged
 )
 
 // bufferBudget bounds the bytes that all answers together hold.
-type bufferBudget struct{ used atomic.Int64 }
+type bufferBudget struct {
+	used  atomic.Int64
+	limit int64 // 0 for maxBufferedTotal
+}
 
 // take charges a number of bytes and reports whether they are within the budget.
 func (b *bufferBudget) take(n int) bool {
-	if b.used.Add(int64(n)) <= maxBufferedTotal {
+	if b.used.Add(int64(n)) <= cmp.Or(b.limit, maxBufferedTotal) {
 		return true
 	}
 	b.used.Add(-int64(n))
--- a/core/proxy/events.go
+++ b/core/proxy/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 )
 
 // event is one complete server-sent event.
@@ -30,6 +31,10 @@
 // noID is the ID of an event without a numeric ID.
 const noID = -1
 
+// eventGrowth is the factor by which the buffer of an event grows. With 2 the smaller buffers of an event would together be as large as
+// the last.
+const eventGrowth = 4
+
 var (
 	errEventSize = errors.New("an event is larger than 256 KiB")
 	errBuffers   = errors.New("the node holds too much of other answers")
@@ -82,14 +87,14 @@
 	}
 }
 
-// append adds a part of an event to the buffer, whose capacity doubles as needed.
+// append adds a part of an event to the buffer, which grows as needed.
 func (r *eventReader) append(part []byte) error {
 	need := len(r.raw) + len(part)
 	if need > maxEventBytes {
 		return errEventSize
 	}
 	if need > cap(r.raw) {
-		size := min(max(need, 2*cap(r.raw)), maxEventBytes)
+		size := min(max(need, eventGrowth*cap(r.raw)), maxEventBytes)
 		charge := 0
 		if size > bufferStepBytes {
 			charge = size
@@ -97,8 +102,7 @@
 		if !r.buffers.take(charge) {
 			return errBuffers
 		}
-		grown := make([]byte, len(r.raw), size)
-		copy(grown, r.raw)
+		grown := append(newEventBuffer(size), r.raw...)
 		r.buffers.give(r.charged)
 		r.raw, r.charged = grown, charge
 	}
@@ -109,7 +113,24 @@
 // release returns what a large event holds.
 func (r *eventReader) release() {
 	if r.charged > 0 {
+		if cap(r.raw) == maxEventBytes {
+			kept := r.raw
+			largestBuffers.Put(&kept)
+		}
 		r.buffers.give(r.charged)
 		r.raw, r.charged = nil, 0
 	}
 }
+
+// largestBuffers keeps buffers of the largest size for other events. Without it the collector falls behind where many large events arrive.
+var largestBuffers sync.Pool
+
+// newEventBuffer returns an empty buffer.
+func newEventBuffer(size int) []byte {
+	if size == maxEventBytes {
+		if b, ok := largestBuffers.Get().(*[]byte); ok {
+			return (*b)[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -62,6 +62,8 @@
 	Meter     Meter
 	Log       logr.Logger
 	Gate      Gate // nil if no service has admission control
+	// AnswerBytes bounds what all answers together hold; 0 for 16 MiB.
+	AnswerBytes int64
 }
 
 // New returns an executor with the given dependencies.
@@ -69,7 +71,7 @@
 	return &Executor{
 		transport: d.Transport, engines: d.Engines, board: d.Board, fleet: d.Fleet, budget: d.Budget, crashes: d.Crashes,
 		broadcast: d.Broadcast, meter: d.Meter, log: d.Log, reports: reportCache{engines: d.Engines}, gate: d.Gate,
-		random: rand.Float64,
+		random: rand.Float64, buffers: bufferBudget{limit: d.AnswerBytes},
 	}
 }
 
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -51,6 +51,17 @@
 	return max(int64(rest*callerBytesShare), int64(bodiesAtLeast*float64(headBytes+bodyBytes)))
 }
 
+// Bytes that answers to all callers together may hold: a share of the soft memory limit, and a bound that the smallest VM in use reaches.
+const (
+	answerBytesShare = 0.2
+	maxAnswerBytes   = 16 << 20
+)
+
+// answerBytes returns how many bytes answers to all callers may hold together.
+func answerBytes(c *Config) int64 {
+	return min(maxAnswerBytes, int64(float64(cmp.Or(c.MemoryMB, defaultMemoryMB))*memoryShare*answerBytesShare*(1<<20)))
+}
+
 // bodyLimit returns the largest body that a caller may send.
 func bodyLimit(limits rules.Limits) int64 {
 	if limits.BodyBytes <= 0 {
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -146,6 +146,7 @@
 	n.executor = proxy.New(proxy.Dependencies{
 		Transport: &transport{pool: n.pool, headers: p.Headers, node: n}, Engines: n.engines, Board: n.board, Fleet: n,
 		Budget: n.budget, Crashes: n.crashes, Broadcast: n.mesh.BroadcastMark, Meter: n.stats, Log: n.log, Gate: n.admissions,
+		AnswerBytes: answerBytes(&c),
 	})
 	n.lease = lease.New(p.Table, leaseName, c.Node, leaseTerm)
 	n.planner = place.NewPlanner(restAwareEngines{n.engines, n.board}, n.lease.Valid, n.log)
