Cut off answers that are not read where their bytes are needed

Cause: callers who don't read keep the bytes of their events until their time is over. Once these fill the bytes of all answers, ordinary streams of events beyond 4 KiB are broken off.

--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -138,7 +138,7 @@
 // none with an ID.
 func (a *attempt) beginStream() {
 	r := a.run
-	a.events = newEventReader(a.answer.Body, &r.executor.buffers)
+	a.events = newEventReader(a.answer.Body, &r.executor.buffers, a.ctx.Done())
 	last := int64(noID)
 	for {
 		a.first, a.readErr = a.events.next()
--- a/core/proxy/events.go
+++ b/core/proxy/events.go
@@ -44,12 +44,13 @@
 type eventReader struct {
 	from    *bufio.Reader
 	buffers *bufferBudget
-	raw     []byte // the buffer of the current event
-	charged int    // bytes of the budget, for a buffer beyond bufferStepBytes
+	raw     []byte          // the buffer of the current event
+	charged int             // bytes of the budget, for a buffer beyond bufferStepBytes
+	done    <-chan struct{} // ends the wait for bytes
 }
 
-func newEventReader(from io.Reader, buffers *bufferBudget) *eventReader {
-	return &eventReader{from: bufio.NewReaderSize(from, eventBufferBytes), buffers: buffers}
+func newEventReader(from io.Reader, buffers *bufferBudget, done <-chan struct{}) *eventReader {
+	return &eventReader{from: bufio.NewReaderSize(from, eventBufferBytes), buffers: buffers, done: done}
 }
 
 // next returns the next complete event. It returns io.EOF if the stream ends between events, and io.ErrUnexpectedEOF if it ends within
@@ -99,7 +100,7 @@
 		if size > bufferStepBytes {
 			charge = size
 		}
-		if !r.buffers.take(charge) {
+		if !r.buffers.await(charge, r.done) {
 			return errBuffers
 		}
 		grown := append(newEventBuffer(size), r.raw...)
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -432,7 +432,7 @@
 	r.sink.Begin(a.answer.Status, a.answer.Header)
 	r.headersSent = true
 	for _, part := range a.body.parts {
-		if err := r.sink.Write(part); err != nil {
+		if err := r.write(part, a.body.room); err != nil {
 			return reply.NewUnknown(reply.Canceled, err.Error())
 		}
 	}
--- a/core/proxy/stream.go
+++ b/core/proxy/stream.go
@@ -29,7 +29,7 @@
 			r.headersSent = true
 			r.sink.Begin(a.answer.Status, a.answer.Header)
 		}
-		if err := r.sink.Write(e.raw); err != nil {
+		if err := r.write(e.raw, a.events.charged); err != nil {
 			return reply.NewUnknown(reply.Canceled, err.Error())
 		}
 		a.events.release()
--- a/core/proxy/types.go
+++ b/core/proxy/types.go
@@ -137,6 +137,12 @@
 	Write(p []byte) error
 }
 
+// Aborter is a Sink whose answer can be given up from another goroutine.
+type Aborter interface {
+	// Abort makes the current write and all later ones fail. It does not block.
+	Abort()
+}
+
 // Engines controls model engines: it fetches reports and moves running requests to other paths.
 type Engines interface {
 	// Report fetches the current report of an upstream.
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -234,6 +234,9 @@
 	return s.rc.Flush()
 }
 
+// Abort makes writes fail, also one that waits for the caller to read.
+func (s *sink) Abort() { _ = s.rc.SetWriteDeadline(longAgo) }
+
 // refuse answers with a refusal of the node itself.
 func (s *sink) refuse(r *proxy.Refusal) {
 	h := s.w.Header()
