Charge operators' requests, and let those that have stalled give way

Cause: the admin port of the project's own interface charged heads to no budget, and its connections whose body stopped short counted as requests that run, so that 64 of them kept operators out for 30 s. Change: heads and bodies of operators' requests have a budget of 8 MiB of their own (limit admin-bytes, counter refusals-by-admin-bytes-total), and a request is read whole, up to 64 KiB of body, before it runs. A body above that is refused with 413; it was cut before, and refused as no JSON.

--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -22,9 +22,6 @@
 	drainCapacity = "capacity" // the reconciler, before an engine loses a model
 )
 
-// maxAdminBodyBytes bounds the body of an operator's request.
-const maxAdminBodyBytes = 1 << 16
-
 func joinNames(names []string) string { return strings.Join(names, ",") }
 
 // stagesOf returns the stages of each split model, keyed by the model's name.
@@ -193,7 +190,7 @@
 		Name  string `json:"name"`
 		Drain bool   `json:"drain"`
 	}
-	raw, err := io.ReadAll(io.LimitReader(r.Body, maxAdminBodyBytes))
+	raw, err := io.ReadAll(r.Body) // serve.OperatorLimits bounds it
 	if err == nil {
 		err = json.Unmarshal(raw, &body)
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -273,8 +273,10 @@
 	// Each HTTP server of the library replaces the log writer when it is created.
 	logs.RedirectLogx(n.log)
 	callers := n.httpServer(handler, "callers", maxConns(callerConnShare))
-	admin := n.httpServer(adminHandler, "admin", maxAdminConns)
-	parts = append(parts, serveHTTP(callers, n.callers.LimitHeads(callers, n.callersListener)), serveHTTP(admin, n.adminListener))
+	operators := serve.NewOperatorLimits(n.stats, n.log)
+	admin := n.httpServer(operators.Handler(adminHandler), "admin", maxAdminConns)
+	parts = append(parts, serveHTTP(callers, n.callers.LimitHeads(callers, n.callersListener)),
+		serveHTTP(admin, operators.LimitHeads(admin, n.adminListener)))
 	n.log.Info("node-started", "callers", n.CallersAddress(), "peers", n.PeersAddress(), "admin", n.AdminAddress())
 	ended := collectResults(parts)
 	running := len(parts)
--- a/io/serve/bodies.go
+++ b/io/serve/bodies.go
@@ -35,8 +35,9 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// bodies bounds the requests of callers that a node holds.
+// bodies bounds the requests of callers, or of operators, that a node holds.
 type bodies struct {
+	name    string // of the limit, for logs
 	budget  quota.Budget
 	refused *counter
 	log     logr.Logger
@@ -45,6 +46,11 @@
 // open returns the account of a request. When it loses its bytes, the read of its body ends.
 func (b *bodies) open(r *http.Request, limit int64) *quota.Account {
 	b.budget.SetLimit(max(quota.DefaultLimit, int64(bodiesAtLeast*float64(limit))))
+	return b.account(r)
+}
+
+// account is open without a change of the budget.
+func (b *bodies) account(r *http.Request) *quota.Account {
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
 	if h, ok := c.(*headConn); ok {
 		a, _ := h.request(r.Header)
@@ -96,7 +102,7 @@
 // logRefusal counts and logs a refusal for lack of bytes.
 func (b *bodies) logRefusal(caller string, cause error) {
 	b.refused.add()
-	b.log.Info("request-refused", "caller", caller, "status", http.StatusServiceUnavailable, "limit", "caller-bytes", "cause", cause.Error())
+	b.log.Info("request-refused", "caller", caller, "status", http.StatusServiceUnavailable, "limit", b.name, "cause", cause.Error())
 }
 
 // linger makes the connection of a refused request end after the answer. net/http reads on until the deadline, or 256 KiB.
--- a/io/serve/callers.go
+++ b/io/serve/callers.go
@@ -64,7 +64,7 @@
 		timeBetweenTokens: s.Histogram("time-between-tokens-us"),
 		timeToWholeAnswer: s.Histogram("time-to-whole-answer-us"),
 	}
-	c.bodies.refused, c.bodies.log = count("refusals-by-caller-bytes-total"), log
+	c.bodies.name, c.bodies.refused, c.bodies.log = "caller-bytes", count("refusals-by-caller-bytes-total"), log
 	s.Gauge("caller-bytes", func() any { return c.bodies.budget.Used() })
 	s.Gauge("requests-in-flight", func() any { return c.inFlight.Load() })
 	return c
--- a/io/serve/heads.go
+++ b/io/serve/heads.go
@@ -25,6 +25,11 @@
 
 // LimitHeads makes the heads of requests count as the bodies do: it sets the server's ConnState and returns the listener to serve.
 func (c *CallerAPI) LimitHeads(s *http.Server, l net.Listener) net.Listener {
+	return c.bodies.limitHeads(s, l)
+}
+
+// limitHeads is LimitHeads for any server.
+func (b *bodies) limitHeads(s *http.Server, l net.Listener) net.Listener {
 	next := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		if h, ok := conn.(*headConn); ok {
@@ -34,7 +39,7 @@
 			next(conn, state)
 		}
 	}
-	return &headListener{l, &c.bodies}
+	return &headListener{l, b}
 }
 
 // headListener accepts connections whose heads are counted.
