Keep the parts of large answers for others

Cause: each plain answer of 1 MiB leaves as much to the collector, which falls behind on a busy machine. Change: beyond 64 KiB an answer is held in parts of 64 KiB, which are kept for other answers.

--- a/core/proxy/buffer.go
+++ b/core/proxy/buffer.go
@@ -15,6 +15,7 @@
 	maxEventBytes    = 256 << 10 // of one event, which is forwarded whole
 	maxBufferedTotal = 16 << 20  // of all answers together, where Dependencies set no limit
 	bufferStepBytes  = 4 << 10   // by which a buffer is charged
+	pooledPartBytes  = 64 << 10  // of a large plain answer
 )
 
 // Times for answers whose callers don't read, while others need the bytes that these hold.
@@ -131,19 +132,35 @@
 
 // release drops the parts and returns what they hold.
 func (b *buffered) release() {
+	for _, p := range b.parts {
+		if cap(p) == pooledPartBytes {
+			largeParts.Put(&p)
+		}
+	}
 	b.budget.give(b.room)
 	b.parts, b.size, b.room = nil, 0, 0
 }
 
-// grow adds a part, and reports whether the budget has room for it. Together the parts double; near the limit a part is one step.
+// largeParts keeps the parts of large answers for others. Without it the collector falls behind where many large answers arrive.
+var largeParts = sync.Pool{New: func() any {
+	p := make([]byte, 0, pooledPartBytes)
+	return &p
+}}
+
+// grow adds a part, and reports whether the budget has room for it. Together the parts double up to pooledPartBytes, which is the size of
+// each further one; near the limit a part is one step.
 func (b *buffered) grow() bool {
-	size := max(bufferStepBytes, min(b.room, maxBufferedBytes-b.room))
+	size := min(max(bufferStepBytes, b.room), pooledPartBytes, maxBufferedBytes-b.room)
 	if !b.budget.take(size) {
 		if size = bufferStepBytes; !b.budget.take(size) {
 			return false
 		}
 	}
-	b.parts = append(b.parts, make([]byte, 0, size))
+	if size == pooledPartBytes {
+		b.parts = append(b.parts, (*largeParts.Get().(*[]byte))[:0])
+	} else {
+		b.parts = append(b.parts, make([]byte, 0, size))
+	}
 	b.room += size
 	return true
 }
