Let net/http's read deadline not revive a request that has lost its bytes

Cause: a request of the project's own interface that loses its bytes gets a read deadline in the past. net/http sets its own once it has read the head; if the loss comes before that, the request keeps its bytes for up to the read timeout, 30 s. Change: a connection whose request has lost its bytes takes no other deadline but that for reading after the refusal, until it is idle. A loss that comes after the end of the request no longer ends the next one's reads. The moment is too short to be met by processes on purpose.

--- a/io/serve/bodies.go
+++ b/io/serve/bodies.go
@@ -108,7 +108,10 @@
 // linger makes the connection of a refused request end after the answer. net/http reads on until the deadline, or 256 KiB.
 func (b *bodies) linger(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
-	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+	switch c := r.Context().Value(connKey{}).(type) {
+	case *headConn:
+		c.linger()
+	case net.Conn:
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 	}
 }
--- a/io/serve/heads.go
+++ b/io/serve/heads.go
@@ -66,6 +66,7 @@
 	arriving bool // net/http has not parsed the head yet
 	head     ports.Head
 	account  *quota.Account // of the request that arrives or is served, or nil
+	isEnding bool           // the account has lost its bytes, so that no more of the request is read
 }
 
 // setState follows net/http: the head is parsed once the connection is active, and the request has ended once it is idle or closed.
@@ -78,7 +79,7 @@
 	if s != http.StateIdle && s != http.StateClosed {
 		return
 	}
-	c.head = ports.Head{}
+	c.head, c.isEnding = ports.Head{}, false
 	if c.account != nil {
 		c.account.Close()
 		c.account = nil
@@ -115,11 +116,39 @@
 // openAccount returns the account of the request. The caller holds the lock.
 func (c *headConn) openAccount() *quota.Account {
 	if c.account == nil {
-		c.account = c.bodies.budget.Open(func() { _ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) })
+		c.account = c.bodies.budget.Open(c.evict)
 	}
 	return c.account
 }
 
+// evict ends the reads of a request that has lost its bytes.
+func (c *headConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.account != nil && c.account.IsEvicted() { // else the request has ended meanwhile
+		c.isEnding = true
+		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline sets the deadline unless the request has lost its bytes: net/http sets one after the head, which would let the request
+// keep them.
+func (c *headConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isEnding {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(at)
+}
+
+// linger lets what still arrives be read for a bounded time after a refusal.
+func (c *headConn) linger() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // request returns the account of a request whose head has been parsed, and what its lines take that have not been charged.
 func (c *headConn) request(header http.Header) (*quota.Account, int64) {
 	c.mu.Lock()
