Call refused callers back by the capacity of all nodes

Cause: each node paced the returns of refused callers on its own, so that 370 nodes called back some 400 a second where the fleet admits 100.

While two or more requests are known to be unserved, nodes call back 0.9 of what all nodes admit, the most urgent class first, and those who came back before last. These come back at the longest time that callers wait, the others are told a time beyond it. The split of unserved requests into first refusals, later ones and long waits is a node's own, the sums are those of the counts gossiped already. In the first 0.9 s of a shortage, of which the others' counts can't tell, a node calls back no more than it admits itself. New: the field retry-after-ms of admission-refused and the counter admission-returns-refused.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -50,6 +50,7 @@
 	floors  floors
 	// startTime is that of all classes together, as a class may have few requests at one node.
 	startTime  startTime
+	pace       pace
 	unservedAt time.Time // when requests, of this node or of others, were last known to be unserved
 }
 
@@ -262,6 +263,8 @@
 	if i := c.classOf(t.request.Rank); i >= 0 && !t.isUnserved {
 		t.isUnserved = true
 		c.classes[i].unserved.add(now)
+		c.pace.split.addUnserved(now)
+		c.pace.note(now)
 		if c.demand != nil {
 			c.demand.Unserved(c.service, t.request.Tokens)
 		}
@@ -322,6 +325,7 @@
 	}
 	if above.Unserved > 0 {
 		c.unservedAt = now
+		c.pace.note(now)
 	}
 }
 
@@ -335,9 +339,14 @@
 	return spare
 }
 
+// count returns the counts of a class at this node.
+func (s *classState) count(now time.Time) Count {
+	return Count{s.offered.count(now), s.unserved.count(now)}
+}
+
 // total returns the counts of a class at this node and, as far as they are known, at all others.
 func (c *Controller) total(s *classState, now time.Time) Count {
-	sum := Count{s.offered.count(now), s.unserved.count(now)}
+	sum := s.count(now)
 	for _, p := range c.peers {
 		sum.Offered += p.counts[s.hash].Offered
 		sum.Unserved += p.counts[s.hash].Unserved
@@ -365,7 +374,7 @@
 	c.countLongWaits(now)
 	counts := make([]classCount, 0, len(c.classes))
 	for _, s := range c.classes {
-		if n := (Count{s.offered.count(now), s.unserved.count(now)}); n.Offered+n.Unserved > 0 {
+		if n := s.count(now); n.Offered+n.Unserved > 0 {
 			counts = append(counts, classCount{hash: s.hash, Count: n})
 		}
 	}
@@ -378,6 +387,11 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.peers[node] = peerCounts{counts, now}
+	for _, s := range c.classes {
+		if counts[s.hash].Unserved > 0 {
+			c.pace.note(now)
+		}
+	}
 	c.expirePeers(now)
 }
 
--- a/core/admit/snapshot.go
+++ b/core/admit/snapshot.go
@@ -13,7 +13,7 @@
 	now := c.now
 	s := &Controller{
 		service: c.service, now: func() time.Time { return now().Add(ahead()) }, peers: maps.Clone(c.peers), floors: c.floors.clone(),
-		startTime: c.startTime, unservedAt: c.unservedAt,
+		startTime: c.startTime, pace: c.pace, unservedAt: c.unservedAt,
 	}
 	for _, class := range c.classes {
 		copied := *class
--- a/core/proxy/admission.go
+++ b/core/proxy/admission.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -133,9 +134,14 @@
 	r.setAhead(w)
 	r.logShortage(time.Since(began))
 	r.ticket.Refuse()
-	r.executor.log.Info("admission-refused", append([]any{"request", r.request.ID, "cause", cause,
-		"rate", r.admission.Queue.Rate(), "waited-ms", time.Since(began).Milliseconds()}, r.admissionFields()...)...)
-	return r.refusal(cause)
+	err := r.refusal(cause)
+	var retryAfter time.Duration
+	if refusal := (*Refusal)(nil); errors.As(err, &refusal) {
+		retryAfter = refusal.RetryAfter
+	}
+	r.executor.log.Info("admission-refused", append([]any{"request", r.request.ID, "cause", cause, "rate", r.admission.Queue.Rate(),
+		"waited-ms", time.Since(began).Milliseconds(), "retry-after-ms", retryAfter.Milliseconds()}, r.admissionFields()...)...)
+	return err
 }
 
 // setAhead records how many requests are ahead in the queue, for logs.
--- a/core/proxy/retry.go
+++ b/core/proxy/retry.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"rhubarbspread/core/admit"
 	"rhubarbspread/core/board"
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/reply"
@@ -107,6 +108,9 @@
 	after := retryAfter(left, r.executor.random())
 	if r.ticket != nil {
 		after = r.ticket.RetryAfter(left, r.executor.random())
+		if after > admit.LongestRetry(left) {
+			r.executor.meter.Count("admission-returns-refused")
+		}
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: after}
 }
