--- a/core/admit/bench_test.go
+++ b/core/admit/bench_test.go
@@ -39,3 +39,21 @@
 		c.Offer(Request{Rank: usual, Team: "t", Tokens: float64(i % 1000)}).Admit()
 	}
 }
+
+// BenchmarkRetryAfter measures the refusal of a request and its Retry-After, which follows the counts of all nodes.
+func BenchmarkRetryAfter(b *testing.B) {
+	c := newController(newClock())
+	counts := make(map[uint32]Count)
+	for _, class := range threeClasses() {
+		counts[ClassHash("s", class.Rank)] = Count{100, 50}
+	}
+	c.SetClasses(threeClasses())
+	for p := range 15 {
+		c.Merge(fmt.Sprint(p), counts)
+	}
+	for b.Loop() {
+		t := c.Offer(Request{Rank: usual, Team: "t", Tokens: 1000, Left: 20 * time.Second})
+		t.Refuse()
+		t.RetryAfter(20*time.Second, 0.5)
+	}
+}
