--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -264,7 +264,7 @@
 		t.isUnserved = true
 		c.classes[i].unserved.add(now)
 		c.pace.split.addUnserved(now)
-		c.pace.note(now)
+		c.pace.noteShortage(now)
 		if c.demand != nil {
 			c.demand.Unserved(c.service, t.request.Tokens)
 		}
@@ -325,7 +325,7 @@
 	}
 	if above.Unserved > 0 {
 		c.unservedAt = now
-		c.pace.note(now)
+		c.pace.noteShortage(now)
 	}
 }
 
@@ -389,7 +389,7 @@
 	c.peers[node] = peerCounts{counts, now}
 	for _, s := range c.classes {
 		if counts[s.hash].Unserved > 0 {
-			c.pace.note(now)
+			c.pace.noteShortage(now)
 		}
 	}
 	c.expirePeers(now)
--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -10,9 +10,9 @@
 	// calledShare is the part of the fleet's admissions that is called back. The rest is left for the spread of the nodes' estimates:
 	// at 1, up to 134 callers came back in a second in which the fleet admitted 100.
 	calledShare = 0.9
-	// newsTime is the age up to which the counts of others may be older than a shortage: they are sent each 150 ms, pass up to two relays,
-	// and cover countWindow.
-	newsTime = 900 * time.Millisecond
+	// maxCountsAge is how old what the counts of others cover may be: they are sent each 150 ms, pass up to two relays, and cover
+	// countWindow. Until a shortage has lasted for so long they may date from before it.
+	maxCountsAge = 900 * time.Millisecond
 	// admittedTime is the time constant of the admissions. A request that is refused after a wait was offered in an earlier window, so that
 	// offered less refused is too little for a moment when offers fall: at the end of a flood, half of the callers lost their return.
 	admittedTime = 2 * time.Second
@@ -30,7 +30,7 @@
 	split      split
 	shortSince time.Time // when requests, of this node or of others, were first known to be unserved
 	shortAt    time.Time // when they were last known to be
-	called     float64   // callers of this node called back in the first newsTime of the shortage
+	called     float64   // callers of this node called back in the first maxCountsAge of the shortage
 	admitted   float64   // requests that all nodes admit in a countWindow
 	admittedAt time.Time
 }
@@ -68,8 +68,8 @@
 	return min(1, s.first/s.unserved), min(1, s.again/s.unserved)
 }
 
-// note records that requests are known to be unserved.
-func (p *pace) note(now time.Time) {
+// noteShortage records that requests are known to be unserved.
+func (p *pace) noteShortage(now time.Time) {
 	if now.Sub(p.shortAt) > peerTTL {
 		p.shortSince, p.called = now, 0
 	}
@@ -106,7 +106,7 @@
 	c.update(now)
 	c.pace.split.addRefused(isLate, now)
 	all := c.totals(class, now, c.total)
-	isNew := now.Sub(c.pace.shortSince) < newsTime
+	isNew := now.Sub(c.pace.shortSince) < maxCountsAge
 	if all.unserved < leastEvident {
 		c.pace.called++
 		return true, false
