--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -333,6 +333,9 @@
 
 const host = "ficu95.example"
 
+// noQuery leaves the query of the crashing request out.
+var noQuery = os.Getenv("QUERY") == "0"
+
 // endingListener is a listener that can end together with its connections.
 type endingListener struct {
 	net.Listener
