--- a/review/rig/promise.go
+++ b/review/rig/promise.go
@@ -11,13 +11,13 @@
 
 func init() { cases["broken-promise"] = brokenPromise }
 
-// brokenPromise lets one replica of three fail a part of the requests that it has run, with a 503 that does not say that it has not
+// brokenPromise lets one replica of seven fail a part of the requests that it has run, with a 503 that does not say that it has not
 // run them. Its health check stays good.
 func brokenPromise(r *rig) int {
 	const key = "n2ctnfzs989anu6wsjnb"
 	r.config(configOf(3, "wuno96b", key))
 	var replicas []*replica
-	for i, zone := range []string{"sapporo", "asahikawa", "hakodate"} {
+	for i, zone := range []string{"sapporo", "asahikawa", "hakodate", "sapporo", "asahikawa", "hakodate", "sapporo"} {
 		replicas = append(replicas, r.replica(fmt.Sprintf("i-%d", i), "wuno96b", zone, 15*time.Millisecond))
 	}
 	r.startNodes("sapporo", "asahikawa", "hakodate")
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -212,7 +212,7 @@
 func (r *rig) startNodes(zones ...string) {
 	var seeds []string
 	for i, zone := range zones {
-		ip := r.ip()
+		ip := r.freeIP()
 		n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: ip, zone: zone, front: ip + ":8227", ready: ip + ":8220", control: ip + ":8229", rig: r}
 		n.settings = filepath.Join(r.dir, n.name+".toml")
 		r.nodes = append(r.nodes, n)
@@ -230,6 +230,28 @@
 	}
 }
 
+// freeIP returns a loopback address on which all ports of a node are free.
+func (r *rig) freeIP() string {
+	ports := []int{8220, 8227, 8229, 9464}
+	for port := 7340; port <= 7355; port++ {
+		ports = append(ports, port)
+	}
+	for range 50 {
+		ip, isFree := r.ip(), true
+		for _, port := range ports {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if isFree = isFree && err == nil; err == nil {
+				_ = l.Close()
+			}
+		}
+		if isFree {
+			return ip
+		}
+	}
+	r.cannot("no loopback address has free ports")
+	return ""
+}
+
 // start starts the process with the command of the deploy file.
 func (n *node) start() {
 	log, err := os.OpenFile(filepath.Join(n.rig.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
