Pass no promise of an upstream on that the upstream has not made

Change: an answer with such a status, without the upstream's statement that it did not run the request, is a failure that may have run: a route that allows it sends another attempt, else the caller gets 502 without the seal. Refusals with the statement go on as before.

--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -118,7 +118,7 @@
 	if r.request.Route.Kind == rules.Streaming {
 		r.executor.board.RecordResponse(u, true, 0)
 	} else {
-		r.executor.board.RecordResponse(u, a.answer.Status >= http.StatusInternalServerError, time.Since(a.startedAt))
+		r.executor.board.RecordResponse(u, a.isFailure(), time.Since(a.startedAt))
 	}
 	if load := a.answer.Load; load != nil {
 		r.executor.board.RecordLoad(u, load.Running+load.Waiting)
@@ -131,7 +131,8 @@
 
 // isFailure reports whether the answer is an upstream's failure, which another attempt may turn into a success.
 func (a *attempt) isFailure() bool {
-	return a.answer.Status >= http.StatusInternalServerError || a.run.request.Route.Kind == rules.Streaming
+	return a.answer.Status >= http.StatusInternalServerError || reply.PromisesNotRun(a.answer.Status) ||
+		a.run.request.Route.Kind == rules.Streaming
 }
 
 // beginStream reads to the first event that the caller lacks. An event without an ID is one only where the caller has
--- a/core/proxy/executor.go
+++ b/core/proxy/executor.go
@@ -411,16 +411,21 @@
 }
 
 func failedAnswer(a *Answer) reply.Outcome {
-	return reply.NewUnknown(reply.Failed, fmt.Sprintf("the upstream answered %d", a.Status))
+	reason := fmt.Sprintf("the upstream answered %d", a.Status)
+	if reply.PromisesNotRun(a.Status) {
+		reason += " without stating that it did not run the request"
+	}
+	return reply.NewUnknown(reply.Failed, reason)
 }
 
 // deliverPlain sends the caller an answer that is no stream of events, unless it is a failure and another attempt may
-// succeed.
+// succeed. An answer whose status promises that the request has not run is never sent: an upstream that states so was refused
+// in rejection, and any other may have run the request.
 func (r *run) deliverPlain(a *attempt, w *stallWatcher) reply.Outcome {
 	if a.isFailure() {
 		r.retryPaid = !r.headersSent && !r.hasReplacement() && r.mayTryAnother() &&
 			r.executor.budget.Take(r.request.Service.Name)
-		if r.headersSent || r.hasReplacement() || r.retryPaid {
+		if r.headersSent || r.hasReplacement() || r.retryPaid || reply.PromisesNotRun(a.answer.Status) {
 			r.excludeUpstream(a.reservation.Upstream.ID)
 			return failedAnswer(a.answer)
 		}
--- a/core/proxy/executor_test.go
+++ b/core/proxy/executor_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -107,6 +109,68 @@
 	}
 }
 
+// promisedStatuses are the statuses by which callers conclude that a request has not run.
+var promisedStatuses = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
+// TestUpstreamsPromiseIsNotPassedOnForARequestThatMayHaveRun guards against an upstream's 503, or another status that promises that
+// nothing ran, that reaches the caller although the upstream has not said so and may have run the request.
+func TestUpstreamsPromiseIsNotPassedOnForARequestThatMayHaveRun(t *testing.T) {
+	large := strings.Repeat("x", maxBufferedBytes+1000)
+	for _, tc := range []struct {
+		name      string
+		kind      rules.Kind
+		resumable bool
+		engine    *rules.Engine
+		sends     int // with attempts left and a budget
+	}{
+		{"non-idempotent", rules.NonIdempotent, false, nil, 1},
+		{"stream", rules.Streaming, false, nil, 1},
+		{"stream of a model", rules.Streaming, false, model(), 1},
+		{"idempotent", rules.Idempotent, false, nil, 2},
+		{"resumable stream", rules.Streaming, true, nil, 2},
+	} {
+		for _, status := range promisedStatuses {
+			for _, body := range []struct {
+				name string
+				make func() io.ReadCloser
+			}{
+				{"whole", func() io.ReadCloser { return plainBody("no") }},
+				{"large", func() io.ReadCloser { return plainBody(large) }},
+				{"cut", func() io.ReadCloser {
+					return &scriptedBody{steps: []bodyStep{{text: "n"}, {err: io.ErrUnexpectedEOF}}}
+				}},
+			} {
+				for _, budget := range []int{0, 9} {
+					t.Run(fmt.Sprintf("%s/%d/%s/budget %d", tc.name, status, body.name, budget), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							f := &fakeFleet{list: plainUpstreams(3), retries: budget, answer: func(*Send, int) (*Answer, error) {
+								return &Answer{AnswerInfo: AnswerInfo{Sealed: true}, Status: status,
+									Header: http.Header{"Seal": {"1"}}, Body: body.make()}, nil
+							}}
+							if tc.engine != nil {
+								f.list = layeredUpstreams()
+							}
+							route := route(tc.kind)
+							route.Resumable = tc.resumable
+							var sink fakeSink
+							err := f.executor().Run(t.Context(), request(route, tc.engine), &sink)
+							var refusal *Refusal
+							if !errors.As(err, &refusal) || refusal.Status != http.StatusBadGateway || sink.status != 0 {
+								t.Errorf("the caller got %v and status %d, want 502 without the upstream's answer", err, sink.status)
+							}
+							if want := min(tc.sends, 1+budget); len(f.sends) != want {
+								t.Errorf("%d attempts, want %d", len(f.sends), want)
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
 func TestSlowIdempotentCallGoesElsewhereAtItsObjective(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeFleet{list: plainUpstreams(2), retries: 9}
@@ -180,7 +244,7 @@
 // call runs at most once, and a refusal as not run is returned only if it did not run.
 func TestNothingRunsTwice(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		plans := rapid.SliceOfN(rapid.IntRange(0, 5), 8, 8).Draw(rt, "answers")
+		plans := rapid.SliceOfN(rapid.IntRange(0, 6), 8, 8).Draw(rt, "answers")
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakeFleet{list: plainUpstreams(3), retries: rapid.IntRange(0, 5).Draw(rt, "budget")}
 			runs := 0
@@ -199,12 +263,20 @@
 				case 4:
 					runs++
 					return sealed("1", &scriptedBody{steps: []bodyStep{{text: "y"}, {err: io.ErrUnexpectedEOF}}}), nil
-				default:
+				case 5:
 					runs++
 					return &Answer{AnswerInfo: AnswerInfo{IDMismatch: true}, Status: 200, Body: plainBody("theirs")}, nil
+				default:
+					runs++
+					status := promisedStatuses[n%len(promisedStatuses)]
+					return &Answer{AnswerInfo: AnswerInfo{Sealed: true}, Status: status, Body: plainBody("no")}, nil
 				}
 			}
-			err := f.executor().Run(t.Context(), request(route(rules.NonIdempotent), nil), &fakeSink{})
+			var sink fakeSink
+			err := f.executor().Run(t.Context(), request(route(rules.NonIdempotent), nil), &sink)
+			if runs > 0 && slices.Contains(promisedStatuses, sink.status) {
+				rt.Fatalf("status %d was passed on, though it ran", sink.status)
+			}
 			if runs > 1 {
 				rt.Fatalf("it ran %d times", runs)
 			}
--- a/core/reply/reply.go
+++ b/core/reply/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -14,6 +15,15 @@
 	MayHaveRun RunState = "may-have-run"
 )
 
+// PromisesNotRun reports whether callers conclude from an HTTP status that their request has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Outcome is how one attempt at an upstream ended: NotSent, Refused, Done or Unknown.
 type Outcome interface{ outcome() }
 
