Promise nothing in the own interface for calls that may have run

Cause: io/plain took a service's 408, 421 or 429 to a call that may not be repeated for its answer, also where the service states that the call did not run; a model engine's refusal counted although its end never arrived; and a refusal after an attempt that may have run could be a 429 or 503. Change: without the statement such a status is an unknown outcome, with it a refusal that keeps its retry; a refusal that breaks off is an unknown outcome; NewRefusal turns a status that promises too much into 502.

--- a/core/reply/refusal.go
+++ b/core/reply/refusal.go
@@ -28,12 +28,16 @@
 	return func(r *Refusal) { r.runState = s }
 }
 
-// NewRefusal returns a Refusal with an HTTP status, a kebab-case code and a human-readable detail.
+// NewRefusal returns a Refusal with an HTTP status, a kebab-case code and a human-readable detail. If the request may have run, a
+// status that promises the opposite is replaced by 502.
 func NewRefusal(status int, code, detail string, opts ...RefusalOption) *Refusal {
 	r := &Refusal{status: status, code: code, detail: detail, runState: NotRun}
 	for _, o := range opts {
 		o(r)
 	}
+	if r.runState != NotRun && PromisesNotRun(status) {
+		r.status = http.StatusBadGateway
+	}
 	return r
 }
 
--- a/io/model/model.go
+++ b/io/model/model.go
@@ -55,7 +55,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return outcomeOfStatus(resp)
+		return outcomeOfStatus(ctx, resp)
 	}
 	return readStream(ctx, resp.Body, emit)
 }
@@ -74,16 +74,18 @@
 	return reply.NewUnknown(reply.Broken, err.Error())
 }
 
-// outcomeOfStatus returns the outcome of a response with an error status: refused if the engine states that it did
-// not run the request, and otherwise unknown, since the request may have run.
-func outcomeOfStatus(resp *http.Response) reply.Outcome {
+// outcomeOfStatus returns the outcome of a response with an error status: refused if the engine states in a whole response
+// that it did not run the request, and otherwise unknown, since the request may have run.
+func outcomeOfStatus(ctx context.Context, resp *http.Response) reply.Outcome {
 	var body struct {
 		RunState string `json:"run-state"`
 		Detail   string `json:"detail"`
 	}
-	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes))
-	_ = json.Unmarshal(raw, &body)
-	if body.RunState == string(reply.NotRun) {
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes))
+	if err != nil {
+		return OutcomeOfError(ctx, &streamError{err})
+	}
+	if json.Unmarshal(raw, &body) == nil && body.RunState == string(reply.NotRun) {
 		return reply.NewRefused(resp.StatusCode, body.Detail, 0)
 	}
 	return reply.NewUnknown(reply.Failed, fmt.Sprintf("status %d", resp.StatusCode))
--- a/io/model/steps.go
+++ b/io/model/steps.go
@@ -44,7 +44,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, outcomeOfStatus(resp)
+		return nil, outcomeOfStatus(ctx, resp)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStepBytes))
 	if err != nil {
--- a/io/plain/plain.go
+++ b/io/plain/plain.go
@@ -59,11 +59,12 @@
 		return nil, model.OutcomeOfError(ctx, err)
 	}
 	defer resp.Body.Close()
-	return readAnswer(ctx, resp, attempt)
+	return readAnswer(ctx, resp, attempt, q.Idempotent)
 }
 
-// readAnswer reads an answer and checks that it is complete and belongs to the attempt.
-func readAnswer(ctx context.Context, resp *http.Response, attempt string) (*once.Response, reply.Outcome) {
+// readAnswer reads an answer and checks that it is complete and belongs to the attempt. It does not return one whose status promises
+// that a call did not run which may not be repeated: the service may have run it unless it states otherwise.
+func readAnswer(ctx context.Context, resp *http.Response, attempt string, isIdempotent bool) (*once.Response, reply.Outcome) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		if ctx.Err() != nil {
@@ -77,10 +78,13 @@
 	if echo := resp.Header.Get(AttemptHeader); echo != attempt {
 		return nil, reply.NewUnknown(reply.Failed, "the answer belongs to another attempt")
 	}
-	if resp.Header.Get(RunStateHeader) == string(reply.NotRun) && resp.StatusCode >= http.StatusInternalServerError {
+	statesNotRun := resp.Header.Get(RunStateHeader) == string(reply.NotRun)
+	switch {
+	case statesNotRun && resp.StatusCode >= http.StatusBadRequest:
 		return nil, reply.NewRefused(resp.StatusCode, "the service refused", retryAfter(resp))
-	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	case statesNotRun:
+		return nil, reply.NewUnknown(reply.Failed, fmt.Sprintf("status %d of a call that the service states not to have run", resp.StatusCode))
+	case resp.StatusCode >= http.StatusInternalServerError, !isIdempotent && reply.PromisesNotRun(resp.StatusCode):
 		return nil, reply.NewUnknown(reply.Failed, fmt.Sprintf("status %d", resp.StatusCode))
 	}
 	return &once.Response{
