Tell the reset of a connection from its end while a request is being written

Cause: the kernel hands the error of a socket to one call. A long request is written beside the reading of its answer; if the write takes the error of a reset, the read gets an end, and an answer that ends with its connection counts as whole. The same held for the relay between two nodes, which passed a clean end on, and for the own interface's clients.

--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbspread/io/frame"
+
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
@@ -86,7 +88,7 @@
 
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         frame.Dialing((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConns,
--- a/io/hop/conn.go
+++ b/io/hop/conn.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"rhubarbspread/io/frame"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -24,6 +26,7 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	judged      *frame.Conn   // reads from the connection
 	reader      *bufio.Reader // reads through Read
 	headLeft    int           // bytes that may be read of the head of an answer, or noHead
 	target      Target
@@ -44,6 +47,11 @@
 	}
 }
 
+// DialContext connects with Dialer, for an HTTP client that takes its connections from a function.
+func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return frame.Dialing(Dialer().DialContext)(ctx, network, address)
+}
+
 // ControlUnacked returns a function for net.Dialer and net.ListenConfig that sets the time after which unacknowledged bytes
 // break a connection.
 func ControlUnacked(d time.Duration) func(network, address string, c syscall.RawConn) error {
@@ -67,12 +75,12 @@
 // Read reads from the connection, within the bound on a head while one is read.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headLeft == noHead {
-		return c.Conn.Read(p)
+		return c.judged.Read(p)
 	}
 	if c.headLeft == 0 {
 		return 0, errHeadSize
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	n, err := c.judged.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
 	return n, err
 }
@@ -83,7 +91,7 @@
 }
 
 func newConn(c net.Conn, t Target) *conn {
-	cn := &conn{Conn: c, target: t, headLeft: noHead, openedAt: time.Now()}
+	cn := &conn{Conn: c, judged: frame.NewConn(c), target: t, headLeft: noHead, openedAt: time.Now()}
 	if relayed, ok := c.(RelayedConn); ok {
 		cn.relay = relayed.Relay
 	}
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -5,12 +5,17 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"rhubarbspread/io/frame"
 )
 
 // tunnel is a pair of connections whose bytes are copied both ways.
 type tunnel struct {
 	node, upstream net.Conn
+	hasNodeEnded   atomic.Bool // the end of the node's bytes is being passed on
 	abortOnce      sync.Once
 }
 
@@ -57,7 +62,11 @@
 func (t *tunnel) copy(to, from net.Conn) error {
 	// The wrappers hide the methods by which io.CopyBuffer would use the kernel's pipes instead of the buffer.
 	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, bufferBytes))
+	if err == nil && from == t.upstream && t.wasReset() {
+		err = syscall.ECONNRESET
+	}
 	if err == nil {
+		t.hasNodeEnded.CompareAndSwap(false, from == t.node)
 		err = closeWrite(to)
 	}
 	if err != nil {
@@ -68,6 +77,10 @@
 	return nil
 }
 
+// wasReset reports whether the upstream was reset although its bytes have come to an end. Once the end of the node's bytes has been
+// passed on, nothing is written to the upstream any more that could hide a reset from the reads.
+func (t *tunnel) wasReset() bool { return frame.WasReset(t.upstream) && !t.hasNodeEnded.Load() }
+
 var errCloseWrite = errors.New("the connection can't be closed for writing alone")
 
 // closeWrite closes one direction of a connection.
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -198,6 +198,32 @@
 	}
 }
 
+// TestResetDuringAnUploadArrivesAsOne guards against the end of an answer that a node sees after a reset, as the relay was writing the
+// request when the upstream was reset: the write takes the error of the socket, and the relay's read then finds an end.
+func TestResetDuringAnUploadArrivesAsOne(t *testing.T) {
+	const rounds = 40 // the write takes the error in some of them
+	target, conns := upstream(t)
+	address, _ := relay(t, New(dialAny, never))
+	for range rounds {
+		node, up := connect(t, address, target, conns)
+		// Written until all buffers are full, so that the relay is still writing when the node no longer is.
+		_ = node.SetWriteDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := node.Write(make([]byte, 16<<20)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(up, "part"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(node, make([]byte, len("part"))); err != nil {
+			t.Fatal(err)
+		}
+		reset(up)
+		if _, err := node.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("error %v, want a reset", err)
+		}
+	}
+}
+
 // TestWritesToAGoneNodeReachTheUpstream checks that an upstream which writes to a node that has closed is reset.
 func TestWritesToAGoneNodeReachTheUpstream(t *testing.T) {
 	target, conns := upstream(t)
