Reject answers whose status is none

Cause: http.ReadResponse takes 000, 099 and +20 for statuses, and the pool took all below 200 for interim answers, so that the body of such an answer was read as the answer; 600 to 999 were passed on. No place judged whether bytes are an answer. Change: io/frame scans answers as they are read, from upstreams, the store, services, nodes and relays, and fails at the first byte that breaks the framing or the status line. Interim heads are bounded by their bytes, no longer by their number.

--- a/io/cli/routeasker.go
+++ b/io/cli/routeasker.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -15,6 +16,7 @@
 	"time"
 
 	"rhubarbspread/io/entry"
+	"rhubarbspread/io/frame"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -77,7 +79,9 @@
 	// The secret, the key and the body must reach no address but those asked: neither by a proxy nor by a redirect, at which net/http would
 	// send a body again.
 	a.client = &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, ExpectContinueTimeout: time.Second},
+		Transport: &http.Transport{
+			DialContext: frame.Dialing(new(net.Dialer).DialContext), DisableKeepAlives: true, ExpectContinueTimeout: time.Second,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	var err error
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -26,7 +26,6 @@
 	maxIdleConns    = 256
 	idleConnTimeout = 30 * time.Second
 	maxAnswerBytes  = 16 << 20
-	maxHeadBytes    = 64 << 10 // of an answer's status line and headers
 )
 
 // Error is the failure of a request: it got no readable answer with a 2xx status.
@@ -88,13 +87,12 @@
 
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         frame.Dialing((&net.Dialer{Timeout: connectTimeout}).DialContext),
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-
-		MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext:            frame.Dialing((&net.Dialer{Timeout: connectTimeout}).DialContext),
+		DisableKeepAlives:      disableKeepAlives,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: frame.MaxHeadBytes,
 	}
 }
 
@@ -128,7 +126,12 @@
 
 func do(s httpc.Service, r *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if c, ok := info.Conn.(*frame.Conn); ok {
+			c.BeginRequest(r.Method)
+		}
+	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	resp, err := s.DoRequest(r)
 	if err == nil {
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -10,19 +10,42 @@
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a client's connection whose reads come to an end only if that is the server's.
-type Conn struct{ net.Conn }
+// Conn is a client's connection whose reads fail at the first byte that is not part of an answer, and come to an end only if that is
+// the server's. One goroutine reads at a time.
+type Conn struct {
+	net.Conn
+	scanner Scanner
+	err     error // of all further reads
+}
 
-// NewConn returns a connection that judges the end of another one.
+// NewConn returns a connection that judges the answers on another one, from its first byte on.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Read reads from the connection.
+// BeginRequest says that a request with a method is about to be written, since an answer to HEAD has no body. All earlier answers
+// have been read.
+func (c *Conn) BeginRequest(method string) { c.scanner.SetMethod(method) }
+
+// Err returns the error that all further reads return, or nil if the bytes so far are sound.
+func (c *Conn) Err() error { return c.err }
+
+// Read reads from the connection. Its error is an *Error if the next byte is not part of an answer.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) && WasReset(c.Conn) {
 		err = &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
 	}
-	return n, err
+	sound, violation := c.scanner.Scan(p[:n])
+	if violation == nil {
+		return n, err
+	}
+	c.err = violation
+	if sound == 0 {
+		return 0, violation
+	}
+	return sound, nil
 }
 
 // tcpClose is the state in TCP_INFO of a socket that has no connection any more. After the other side's end alone it is another.
@@ -51,7 +74,7 @@
 // DialFunc connects to an address, as that of a net.Dialer does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dialing returns a function that dials with another one and judges the connections.
+// Dialing returns a function that dials with another one and judges the answers on the connections.
 func Dialing(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
--- a/io/frame/doc.go
+++ b/io/frame/doc.go
@@ -1,2 +1,2 @@
-// Package frame tells the end of an answer from that of its connection, which net/http takes for the same.
+// Package frame judges the answers that a connection brings, as they are read; what it lets through, net/http parses.
 package frame
--- a/io/hop/conn.go
+++ b/io/hop/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -26,9 +25,8 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	judged      *frame.Conn   // reads from the connection
-	reader      *bufio.Reader // reads through Read
-	headLeft    int           // bytes that may be read of the head of an answer, or noHead
+	answers     *frame.Conn   // judges what is read from the connection
+	reader      *bufio.Reader // reads from answers
 	target      Target
 	idleSince   time.Time
 	idleTimeout time.Duration // idle time after which it isn't reused
@@ -67,41 +65,26 @@
 	}
 }
 
-// noHead is the value of headLeft while no head is read.
-const noHead = -1
-
-var errHeadSize = errors.New("the head of the answer is too large")
-
-// Read reads from the connection, within the bound on a head while one is read.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.headLeft == noHead {
-		return c.judged.Read(p)
-	}
-	if c.headLeft == 0 {
-		return 0, errHeadSize
-	}
-	n, err := c.judged.Read(p[:min(len(p), c.headLeft)])
-	c.headLeft -= n
-	return n, err
-}
-
 // DialDirect connects to the address of an upstream.
 func DialDirect(ctx context.Context, t Target) (net.Conn, error) {
 	return Dialer().DialContext(ctx, "tcp", t.Address)
 }
 
 func newConn(c net.Conn, t Target) *conn {
-	cn := &conn{Conn: c, judged: frame.NewConn(c), target: t, headLeft: noHead, openedAt: time.Now()}
+	cn := &conn{Conn: c, answers: frame.NewConn(c), target: t, openedAt: time.Now()}
 	if relayed, ok := c.(RelayedConn); ok {
 		cn.relay = relayed.Relay
 	}
-	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	cn.reader = bufio.NewReaderSize(cn.answers, readBufferBytes)
 	return cn
 }
 
+// hasUnread reports whether bytes have been read from the connection that belong to no answer yet.
+func (c *conn) hasUnread() bool { return c.reader.Buffered() > 0 || c.answers.Err() != nil }
+
 // isClean reports whether an idle connection is open and has no unread bytes, which would belong to no request.
 func (c *conn) isClean() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -25,7 +25,6 @@
 	maxSkippedAnswers  = 2                      // late answers to earlier requests, which are discarded
 	maxSkippedBytes    = 64 << 10               // of the body of such an answer
 	maxInlineBytes     = 16 << 10               // size up to which a request is written before its answer is read
-	maxHeadBytes       = 64 << 10               // of an answer's status line and headers
 	writeTimeout       = 5 * time.Second        // of a request that is written before its answer is read
 )
 
@@ -249,6 +248,7 @@
 	if err != nil {
 		return nil, err
 	}
+	x.conn.answers.BeginRequest(c.Method)
 	if len(raw) == 1 {
 		_ = x.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, err = x.conn.Write(raw[0])
@@ -265,15 +265,10 @@
 		}()
 	}
 	for range maxSkippedAnswers + 1 {
-		x.conn.headLeft = maxHeadBytes
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: c.Method})
-		x.conn.headLeft = noHead
+		resp, err := x.readHead(c.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if !c.Foreign(resp.StatusCode, resp.Header) {
 			resp.Body = &body{ReadCloser: resp.Body, x: x, idleTimeout: idleTimeoutOf(resp)}
 			return resp, nil
@@ -289,6 +284,16 @@
 	return nil, errors.New("answers to other requests stood before")
 }
 
+// readHead reads to the end of the next head that is no interim one. Package frame bounds the heads together.
+func (x *exchange) readHead(method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
 // idleTimeoutOf returns how long a connection may stay idle after an answer, or 0 if it must be closed.
 func idleTimeoutOf(resp *http.Response) time.Duration {
 	if resp.Close {
@@ -317,7 +322,7 @@
 		default:
 			reusable = false
 		}
-		if !reusable || idleTimeout <= 0 || x.conn.reader.Buffered() > 0 {
+		if !reusable || idleTimeout <= 0 || x.conn.hasUnread() {
 			x.pool.discard(x.conn)
 			return
 		}
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -16,6 +17,7 @@
 	"time"
 
 	"rhubarbspread/io/fake"
+	"rhubarbspread/io/frame"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -129,9 +131,10 @@
 
 // Run sends the load, waits for every answer and returns the report.
 func Run(ctx context.Context, c Config) (*Report, error) {
+	transport := &http.Transport{DialContext: frame.Dialing(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 1024}
 	r := &run{
 		config:        c,
-		client:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}, Timeout: requestTimeout},
+		client:        &http.Client{Transport: transport, Timeout: requestTimeout},
 		start:         time.Now(),
 		firstToken:    hdrhistogram.New(1, int64(requestTimeout/time.Microsecond), 3),
 		betweenTokens: hdrhistogram.New(1, int64(requestTimeout/time.Microsecond), 3),
--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -6,9 +6,9 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
+	"rhubarbspread/io/frame"
 	"rhubarbspread/io/hop"
 )
 
@@ -49,12 +49,8 @@
 // Reason returns why the relay gave no connection.
 func (e *Error) Reason() Reason { return e.reason }
 
-// The heads of answers. That of a success has a fixed length, so that the client reads nothing beyond it.
-const (
-	successHead = "HTTP/1.1 200 OK\r\n\r\n"
-	statusStart = len("HTTP/1.1 ")
-	statusEnd   = statusStart + 3
-)
+// successHead is the answer of a relay that has connected. It has a fixed length, so that the client reads nothing beyond it.
+const successHead = "HTTP/1.1 200 OK\r\n\r\n"
 
 // Connect connects to the upstream at an address through the relay at another one. When the context ends, it gives up; the
 // returned connection does not depend on the context. Its error is an *Error.
@@ -86,7 +82,7 @@
 	return nil, &Error{relay, reason, fmt.Errorf("status %d", status)}
 }
 
-// request sends the request for a tunnel and returns the status of the answer.
+// request sends the request for a tunnel and returns the status of the answer, 200 only for successHead.
 func request(c net.Conn, target string) (int, error) {
 	if _, err := io.WriteString(c, "CONNECT "+target+" HTTP/1.1\r\nHost: "+target+"\r\n\r\n"); err != nil {
 		return 0, err
@@ -98,9 +94,12 @@
 	if string(head) == successHead {
 		return http.StatusOK, nil
 	}
-	status, err := strconv.Atoi(string(head[statusStart:statusEnd]))
-	if err != nil || status == http.StatusOK {
+	var s frame.Scanner
+	if _, err := s.Scan(head); err != nil {
+		return 0, err
+	}
+	if s.Status() < http.StatusMultipleChoices {
 		return 0, fmt.Errorf("the answer %q", head)
 	}
-	return status, nil
+	return s.Status(), nil
 }
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -330,6 +330,29 @@
 	}
 }
 
+// TestMalformedAnswerOpensNoTunnel guards against a relay's answer that counts as one although its status is none or its head is not the
+// one of a tunnel.
+func TestMalformedAnswerOpensNoTunnel(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 099 Low\r\n\r\n", "HTTP/1.1 999 High\r\n\r\n", "HTTP/1.1 +50 OK\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 200 OK\n\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "ICY 200 OK and more\r\n\r\n",
+	} {
+		l := listen(t)
+		go func() {
+			if c, err := l.AcceptTCP(); err == nil {
+				_, _ = io.WriteString(c, head+strings.Repeat(" ", len(successHead)))
+				_, _ = io.Copy(io.Discard, c)
+				_ = c.Close()
+			}
+		}()
+		c, err := Connect(t.Context(), l.Addr().String(), "127.0.0.1:1")
+		var e *Error
+		if c != nil || !errors.As(err, &e) || e.Reason() != Unreachable {
+			t.Errorf("%q: error %v, want that the relay gave no answer", head, err)
+		}
+	}
+}
+
 // TestFullRelayFreesTunnels checks that ended tunnels make room for new ones.
 func TestFullRelayFreesTunnels(t *testing.T) {
 	target, conns := upstream(t)
