Reject answers in which the name of a field holds a blank or a control byte

Cause: textproto takes a blank in a name and a bare LF as the end of a line. A line such as "X Name: a" was passed on, "Content-Length : 5" did not frame the body, and a bare LF before a name ended the head, so that callers got bytes that were not the upstream's body.

--- a/io/entry/transport.go
+++ b/io/entry/transport.go
@@ -8,6 +8,7 @@
 	"rhubarbspread/core/fleet"
 	"rhubarbspread/core/proxy"
 	"rhubarbspread/core/rules"
+	"rhubarbspread/io/frame"
 	"rhubarbspread/io/hop"
 )
 
@@ -45,6 +46,10 @@
 		Foreign:  func(status int, h http.Header) bool { return t.headers.ReadAnswerInfo(s.ID, status, h).IDMismatch },
 	})
 	if err != nil {
+		var malformed *frame.Error
+		if errors.As(err, &malformed) {
+			t.node.stats.Count("answers-malformed")
+		}
 		var e *hop.Error
 		return nil, proxy.NewSendError(!errors.As(err, &e) || e.Sent(), err)
 	}
--- a/io/frame/bytes.go
+++ b/io/frame/bytes.go
@@ -4,7 +4,8 @@
 type class uint8
 
 const (
-	text class = 1 << iota // of a field's value, a reason phrase or a chunk extension: VCHAR, obs-text, SP and HTAB
+	token class = 1 << iota // of a field's name: tchar (RFC 9110, section 5.6.2)
+	text                    // of a field's value, a reason phrase or a chunk extension: VCHAR, obs-text, SP and HTAB
 	digit
 	hex
 )
@@ -18,6 +19,9 @@
 			c[b] |= text
 		}
 	}
+	for _, b := range []byte("!#$%&'*+-.^_`|~ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789") {
+		c[b] |= token
+	}
 	for _, b := range []byte("0123456789") {
 		c[b] |= digit | hex
 	}
@@ -27,6 +31,7 @@
 	return c
 }
 
+func isToken(b byte) bool { return classes[b]&token != 0 }
 func isText(b byte) bool  { return classes[b]&text != 0 }
 func isDigit(b byte) bool { return classes[b]&digit != 0 }
 func isHex(b byte) bool   { return classes[b]&hex != 0 }
--- a/io/frame/scanner.go
+++ b/io/frame/scanner.go
@@ -225,6 +225,9 @@
 		s.state = atHeadEnd
 	case s.state == atFieldStart:
 		s.state, s.count = inName, 0
+		if !isToken(b) {
+			return violation("a line begins with byte %#02x", b)
+		}
 		s.addToName(b)
 	case b != '\n':
 		return violation("a CR is followed by byte %#02x", b)
@@ -239,7 +242,7 @@
 // scanName returns how many of the next bytes belong to the name of a field.
 func (s *Scanner) scanName(p []byte) int {
 	for i, b := range p {
-		if b == ':' || b == '\r' || b == '\n' {
+		if !isToken(b) {
 			return i
 		}
 		s.addToName(b)
--- a/io/frame/scanner_test.go
+++ b/io/frame/scanner_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -64,9 +65,17 @@
 	{"a control byte in the reason", "HTTP/1.1 200 O\x00K\r\nContent-Length: 5\r\n\r\nwhole"},
 	{"status 000 after an interim head", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 \r\nContent-Length: 5\r\n\r\nwhole"},
 	{"status 000 before a final head", "HTTP/1.1 000 \r\n\r\n" + head()},
+	{"a line without a colon", head("X-Name")},
+	{"an empty name", head(": value")},
+	{"a folded value", head("X-Name: a", " b")},
+	{"a folded first line", head(" X-Name: a")},
+	{"a delimiter in a name", head("X(Name): a")},
+	{"obs-text in a name", head("X\xe4Name: a")},
 	{"a bare LF", "HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole"},
 	{"a bare LF after a value", "HTTP/1.1 200 OK\r\nX: a\nContent-Length: 5\r\n\r\nwhole"},
+	{"a bare LF as the empty line", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nwhole"},
 	{"a bare CR", head("X: a\rb")},
+	{"a blank in an interim head's name", "HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\n" + head()},
 	{"an empty length", "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nwhole"},
 	{"a signed length", "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nwhole"},
 	{"a negative length", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwhole"},
@@ -90,12 +99,36 @@
 	{"a size of a chunk that is too large", chunked("8000000000000000\r\nwhole\r\n0\r\n\r\n")},
 	{"a chunk longer than its size", chunked("4\r\nwhole\r\n0\r\n\r\n")},
 	{"a bare LF after a chunk", chunked("5\r\nwhole\n0\r\n\r\n")},
+	{"a bare LF after the last chunk", chunked("5\r\nwhole\r\n0\r\n\n")},
+	{"a blank in a trailer's name", chunked("5\r\nwhole\r\n0\r\nX Sum: 1\r\n\r\n")},
+	{"a control byte in a trailer's name", chunked("5\r\nwhole\r\n0\r\nX\x01Sum: 1\r\n\r\n")},
 	{"a control byte in a trailer's value", chunked("5\r\nwhole\r\n0\r\nX-Sum: \x01\r\n\r\n")},
 	{"a head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", MaxHeadBytes/6+1)},
 	{"interim heads without end", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", MaxHeadBytes/25+1)},
 	{"trailers without end", chunked("0\r\n" + strings.Repeat("X: y\r\n", MaxHeadBytes/6+1))},
 }
 
+func init() {
+	for b := range 0x80 {
+		if b > ' ' && b != 0x7f {
+			continue
+		}
+		for _, place := range []struct{ name, line string }{{"at the beginning of", "%cX-Name: a"}, {"in", "X-%cName: a"}, {"at the end of", "X-Name%c: a"}} {
+			malformed = append(malformed, struct{ name, answer string }{
+				fmt.Sprintf("byte %#02x %s a name", b, place.name), head(fmt.Sprintf(place.line, b))})
+		}
+		if b != ' ' && b != '\t' {
+			malformed = append(malformed, struct{ name, answer string }{
+				fmt.Sprintf("byte %#02x in a value", b), head(fmt.Sprintf("X-Name: a%cb", b))})
+		}
+	}
+	for _, name := range []string{"Content-Length ", "Content Length", "Transfer-Encoding\t", "Transfer-Encoding "} {
+		malformed = append(malformed, struct{ name, answer string }{
+			fmt.Sprintf("a framing field with a blank in its name, %q", name),
+			fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", name)})
+	}
+}
+
 // scan gives a scanner an answer in pieces of a size, and returns the number of sound bytes.
 func scan(method, answer string, size int) (int, error) {
 	var s Scanner
--- a/io/plain/malformed_test.go
+++ b/io/plain/malformed_test.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// TestNameWithABlankOrAControlByteEndsAnAnswer guards against a service's answer in which the name of a field holds a byte that no name
+// may have, and that counts as the answer to a call.
+func TestNameWithABlankOrAControlByteEndsAnAnswer(t *testing.T) {
+	for _, line := range []string{"X Name: a", "X-Name : a", "X-Name\t: a", " X-Name: a", "X\x00Name: a", "\nX-Name: a", "X\x7fName: a"} {
+		checkUnknown(t, "HTTP/1.1 200 OK\r\n"+attemptLine+line+"\r\nContent-Length: 5\r\n\r\nwrong",
+			"HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+attemptLine+"Content-Length: 5\r\n\r\nwrong",
+			"HTTP/1.1 200 OK\r\n"+attemptLine+"Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n"+line+"\r\n\r\n")
+	}
+	checkUnknown(t, "HTTP/1.1 200 OK\r\n"+attemptLine+"Content-Length : 5\r\n\r\nwrong bytes",
+		"HTTP/1.1 200 OK\r\n"+attemptLine+"Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n")
+}
+
 // TestHeadGetsItsAnswer guards against the answer to HEAD, whose length is that of another answer, being judged as one with a body.
 func TestHeadGetsItsAnswer(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -335,7 +335,7 @@
 func TestMalformedAnswerOpensNoTunnel(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 099 Low\r\n\r\n", "HTTP/1.1 999 High\r\n\r\n", "HTTP/1.1 +50 OK\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
-		"HTTP/1.1 200 OK\n\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "ICY 200 OK and more\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX : y\r\n\r\n", "HTTP/1.1 200 OK\n\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "ICY 200 OK and more\r\n\r\n",
 	} {
 		l := listen(t)
 		go func() {
