Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: an answer without a length ends with the connection for such a caller, and a node gives an answer up by closing the connection, so that a broken answer looked whole. Change: while such an answer is under way every close of the connection resets it; once the answer is whole it ends the connection.

--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -37,6 +37,9 @@
 	s := &sink{w: w, rc: http.NewResponseController(w), stopping: n.stopping.Load}
 	h := n.hold(r.Context())
 	defer h.account.Close()
+	if !r.ProtoAtLeast(1, 1) {
+		s.endsAnswer = h.conn
+	}
 	q, refusal := f.admit(r, arrived, h, s.rc)
 	if refusal == nil {
 		refusal = f.stopRefusal(q)
@@ -49,6 +52,7 @@
 		err := n.executor.Run(r.Context(), q, s)
 		switch {
 		case err == nil:
+			s.end()
 			return
 		case errors.Is(err, proxy.ErrAnswerBroken), errors.Is(err, proxy.ErrCallerGone), s.headersSent:
 			panic(http.ErrAbortHandler) // aborts the connection, so that the caller sees that the answer is incomplete
@@ -208,11 +212,14 @@
 	rc          *http.ResponseController
 	headersSent bool
 	stopping    func() bool
+	endsAnswer  *callerConn // whose end is that of the answer, as HTTP/1.0 has no chunks; nil for other callers
 }
 
-// Begin writes the status and headers of the upstream's answer.
+// Begin writes the status and headers of the upstream's answer. Where the connection ends the answer, every close of it resets it until
+// end is called, also one by the system.
 func (s *sink) Begin(status int, h http.Header) {
 	s.headersSent = true
+	s.setLinger(0)
 	out := s.w.Header()
 	for name, values := range h {
 		out[name] = values
@@ -226,6 +233,16 @@
 	s.w.WriteHeader(status)
 }
 
+// end lets the connection end an answer that is whole.
+func (s *sink) end() { s.setLinger(-1) }
+
+// setLinger sets what a close of a connection that ends the answer does: 0 resets it, -1 sends what is left.
+func (s *sink) setLinger(seconds int) {
+	if s.endsAnswer != nil {
+		_ = s.endsAnswer.SetLinger(seconds) // fails only if the connection is gone
+	}
+}
+
 // Write writes a part of the body and flushes it.
 func (s *sink) Write(p []byte) error {
 	if _, err := s.w.Write(p); err != nil {
