Scan names and lines between chunks in longer steps

Cause: each byte of a name and of a line between two chunks went through the scanner's dispatch, and the field for the method HEAD shared its name with a local variable.

--- a/io/frame/scanner.go
+++ b/io/frame/scanner.go
@@ -62,10 +62,10 @@
 
 // Scanner judges a series of answers, which it is given in pieces of any size. The zero value expects the head of an answer.
 type Scanner struct {
-	isHead    atomic.Bool // the method of the request is HEAD
-	state     state
-	count     int // bytes of the current element
-	headBytes int // of the head with the interim ones before it, or of the trailers
+	isHeadMethod atomic.Bool // the method of the request is HEAD
+	state        state
+	count        int // bytes of the current element
+	headBytes    int // of the head with the interim ones before it, or of the trailers
 
 	// Of the current head.
 	version   byte // the digit of the minor version
@@ -76,7 +76,7 @@
 
 	// Of the current field.
 	field   field
-	name    [len(transferEncodingName)]byte // in lower case, as far as it fits
+	name    [len(transferEncodingName)]byte // as far as it fits
 	coding  [len(chunkedCoding)]byte        // the value of a Transfer-Encoding, in lower case
 	number  int64                           // the value of a Content-Length
 	isEnded bool                            // a blank follows the value
@@ -85,7 +85,7 @@
 }
 
 // SetMethod sets the method of the request whose answer comes next.
-func (s *Scanner) SetMethod(method string) { s.isHead.Store(method == http.MethodHead) }
+func (s *Scanner) SetMethod(method string) { s.isHeadMethod.Store(method == http.MethodHead) }
 
 // Status returns the status of the latest head, or 0 if the head has not been scanned as far.
 func (s *Scanner) Status() int {
@@ -99,7 +99,7 @@
 // be scanned.
 func (s *Scanner) Scan(p []byte) (int, error) {
 	for i := 0; i < len(p); {
-		n, isHead := 1, s.state < inBody
+		n, inHead := 1, s.state < inBody
 		var err error
 		switch s.state {
 		case untilEnd:
@@ -115,13 +115,15 @@
 				n, err = 1, s.scanValue(p[i])
 			}
 		case inChunkSize, beforeChunkExt, inChunkExt, atChunkSizeEnd, atChunkEnd, atChunkLineEnd:
-			err = s.scanChunkLine(p[i])
+			if n, err = s.scanChunkLines(p[i:]); err != nil {
+				return i + n, err
+			}
 		case inVersion, afterVersion, inStatus, afterStatus, inReason:
 			err = s.scanStatusLine(p[i])
 		case atLineEnd, atFieldStart, atHeadEnd:
 			err = s.scanLineEnd(p[i])
 		}
-		if err == nil && isHead {
+		if err == nil && inHead {
 			if s.headBytes += n; s.headBytes > MaxHeadBytes {
 				err = violation("the head or the trailers are larger than %d bytes", MaxHeadBytes)
 			}
@@ -228,7 +230,7 @@
 		if !isToken(b) {
 			return violation("a line begins with byte %#02x", b)
 		}
-		s.addToName(b)
+		s.addToName([]byte{b})
 	case b != '\n':
 		return violation("a CR is followed by byte %#02x", b)
 	case s.state == atLineEnd:
@@ -241,20 +243,32 @@
 
 // scanName returns how many of the next bytes belong to the name of a field.
 func (s *Scanner) scanName(p []byte) int {
-	for i, b := range p {
-		if !isToken(b) {
-			return i
-		}
-		s.addToName(b)
+	n := 0
+	for n < len(p) && isToken(p[n]) {
+		n++
 	}
-	return len(p)
+	s.addToName(p[:n])
+	return n
 }
 
-func (s *Scanner) addToName(b byte) {
+func (s *Scanner) addToName(p []byte) {
 	if s.count < len(s.name) {
-		s.name[s.count] = lower(b)
+		copy(s.name[s.count:], p)
 	}
-	s.count++
+	s.count += len(p)
+}
+
+// isNamed reports whether the current field has a name, which is given in lower case.
+func (s *Scanner) isNamed(name string) bool {
+	if s.count != len(name) {
+		return false
+	}
+	for i := range len(name) {
+		if lower(s.name[i]) != name[i] {
+			return false
+		}
+	}
+	return true
 }
 
 // endName judges the byte after the name of a field, and recognizes the field.
@@ -265,9 +279,9 @@
 	s.field = otherField
 	switch {
 	case s.isTrailer:
-	case s.count == len(contentLengthName) && string(s.name[:s.count]) == contentLengthName:
+	case s.isNamed(contentLengthName):
 		s.field = contentLength
-	case s.count == len(transferEncodingName) && string(s.name[:s.count]) == transferEncodingName:
+	case s.isNamed(transferEncodingName):
 		s.field = transferEncoding
 	}
 	s.state, s.count, s.number, s.isEnded = inValue, 0, 0, false
@@ -345,7 +359,7 @@
 		s.state, s.count = inVersion, 0 // the bytes of interim heads add up
 		return nil
 	}
-	hasNoBody := s.isHead.Load() || s.status == http.StatusNoContent || s.status == http.StatusNotModified || s.length == 0
+	hasNoBody := s.isHeadMethod.Load() || s.status == http.StatusNoContent || s.status == http.StatusNotModified || s.length == 0
 	switch {
 	case hasNoBody:
 		s.endAnswer()
@@ -359,34 +373,68 @@
 	return nil
 }
 
+// scanChunkLines judges the bytes between the data of two chunks, and returns how many of them are sound.
+func (s *Scanner) scanChunkLines(p []byte) (int, error) {
+	for i, b := range p {
+		if err := s.scanChunkLine(b); err != nil {
+			return i, err
+		}
+		if s.state == inChunk || s.isTrailer {
+			return i + 1, nil
+		}
+	}
+	return len(p), nil
+}
+
 // scanChunkLine judges a byte between the data of two chunks.
 func (s *Scanner) scanChunkLine(b byte) error {
+	isSound := false
+	switch s.state {
+	case inChunkSize:
+		return s.scanChunkSize(b)
+	case beforeChunkExt:
+		if isSound = isBlank(b) || b == ';'; b == ';' {
+			s.state = inChunkExt
+		}
+	case inChunkExt:
+		if isSound = isText(b) || b == '\r'; b == '\r' {
+			s.state = atChunkSizeEnd
+		}
+	case atChunkSizeEnd:
+		isSound, s.state = b == '\n', inChunk
+		if s.left == 0 {
+			s.state, s.isTrailer, s.headBytes = atFieldStart, true, 0
+		}
+	case atChunkEnd:
+		isSound, s.state = b == '\r', atChunkLineEnd
+	default:
+		isSound, s.state, s.count = b == '\n', inChunkSize, 0
+	}
+	if !isSound {
+		return violation("byte %#02x between two chunks", b)
+	}
+	return nil
+}
+
+// scanChunkSize judges a byte of the size of a chunk, or the one after it.
+func (s *Scanner) scanChunkSize(b byte) error {
 	switch {
-	case s.state == inChunkSize && isHex(b):
+	case isHex(b):
 		if s.left > math.MaxInt64>>4 {
 			return violation("a chunk is too large")
 		}
 		s.left = s.left<<4 | int64(hexValue(b))
 		s.count++
-	case s.state == inChunkSize && s.count == 0:
+	case s.count == 0:
 		return violation("the size of a chunk has byte %#02x", b)
-	case s.state == inChunkExt && isText(b), s.state == beforeChunkExt && isBlank(b):
-	case (s.state == inChunkSize || s.state == beforeChunkExt) && b == ';':
+	case b == '\r':
+		s.state = atChunkSizeEnd
+	case b == ';':
 		s.state = inChunkExt
-	case s.state == inChunkSize && isBlank(b):
+	case isBlank(b):
 		s.state = beforeChunkExt
-	case (s.state == inChunkSize || s.state == inChunkExt) && b == '\r':
-		s.state = atChunkSizeEnd
-	case s.state == atChunkSizeEnd && b == '\n' && s.left == 0:
-		s.state, s.isTrailer, s.headBytes = atFieldStart, true, 0
-	case s.state == atChunkSizeEnd && b == '\n':
-		s.state = inChunk
-	case s.state == atChunkEnd && b == '\r':
-		s.state = atChunkLineEnd
-	case s.state == atChunkLineEnd && b == '\n':
-		s.state, s.count, s.left = inChunkSize, 0, 0
 	default:
-		return violation("byte %#02x between two chunks", b)
+		return violation("byte %#02x follows the size of a chunk", b)
 	}
 	return nil
 }
