--- a/core/proxy/stall.go
+++ b/core/proxy/stall.go
@@ -49,6 +49,8 @@
 func newStallWatcher(a *attempt) *stallWatcher {
 	w := &stallWatcher{attempt: a, run: a.run, reservation: a.reservation, lastEventAt: a.startedAt}
 	route := a.run.request.Route
+	w.mu.Lock() // a check that runs at once waits until the timer is set
+	defer w.mu.Unlock()
 	switch {
 	case route.Kind == rules.Streaming:
 		w.timer = time.AfterFunc(a.allowedSilence(false), w.check)
