Log by which way a configuration came, and what a node believed until then

The line `configuration` named the store or another node and the age of the node's own latest answer, which says nothing of a node that leaves reading to others: neither which node the version came from, nor when this one first saw it elsewhere, nor on whose confirmation it relied.

The line now has the row's revision, the source with its name, the time since the store's answer and since the node noticed the version, its role, and the age and the source of its latest confirmation. `configuration-behind` is written once a version when another node is seen to have it. Counters by source and gauges of the version and of the confirmation's age come with them. No logic changes.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -249,7 +249,7 @@
 func (n *Node) recordSuccess(t store.Topic) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	n.storeReadBefore[t], n.storeReadAt[t] = n.storeReadAt[t], time.Now()
+	n.storeReadAt[t] = time.Now()
 	if t == store.Upstreams {
 		n.outage.ReadSucceeded(time.Now())
 	}
@@ -259,16 +259,6 @@
 	}
 }
 
-// sinceAnswer returns the time since the answer of the store on a topic before the latest one.
-func (n *Node) sinceAnswer(t store.Topic) time.Duration {
-	n.storeMu.Lock()
-	defer n.storeMu.Unlock()
-	if n.storeReadBefore[t].IsZero() {
-		return time.Since(n.started)
-	}
-	return time.Since(n.storeReadBefore[t])
-}
-
 // expiryGraceEnd returns the time until which entries that expire now may reappear.
 func (n *Node) expiryGraceEnd() time.Time {
 	n.storeMu.Lock()
@@ -333,10 +323,11 @@
 		needsSeed := own.RulesVersion == 0 || len(own.NodeRows) == 0 && time.Since(seedAskedAt) >= seedInterval
 		if !ok && needsSeed && n.isStoreFailing() && len(n.config.Seeds) > 0 {
 			seed := n.config.Seeds[rand.IntN(len(n.config.Seeds))]
-			peer, ok = mesh.Peer{Name: "seed", RPCAddress: seed, RulesVersion: 1}, true
+			peer, ok = mesh.Peer{Name: seedName, RPCAddress: seed, RulesVersion: 1}, true
 			seedAskedAt = time.Now()
 		}
 		lag.listPause = listPause(n.changeBound())
+		n.noticeVersion(own.RulesVersion, peer)
 		if !ok {
 			peer = mesh.Peer{RulesVersion: own.RulesVersion}
 		}
@@ -369,6 +360,7 @@
 		list = append(list, change{topic: store.Nodes, rows: fetched.NodeRows, snapshot: true})
 	}
 	for _, ch := range list {
+		ch.from = fetched.From
 		select {
 		case changes <- ch:
 		case <-ctx.Done():
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -87,16 +87,15 @@
 	announced      atomic.Bool   // this node's row has been written
 	rowLost        chan struct{} // receives a value when the store no longer has that row
 
-	storeMu      sync.Mutex
-	storeFailing map[store.Topic]bool
-	storeReadAt  map[store.Topic]time.Time // of the latest answer
-	// storeReadBefore is the time of the answer before the latest.
-	storeReadBefore map[store.Topic]time.Time
-	outage          *fleet.Outage
-	polls           polls
-	words           map[store.Topic]mesh.Word // of the store to this node, and to nodes that this one fetched from
-	recent          store.Recent              // changes of the list
-	plannerSeenAt   atomic.Int64              // when another node was last known to hold the lease, in ns since the start
+	storeMu       sync.Mutex
+	storeFailing  map[store.Topic]bool
+	storeReadAt   map[store.Topic]time.Time // of the latest answer
+	noticed       noticedVersion            // newest configuration of which another node told
+	outage        *fleet.Outage
+	polls         polls
+	words         map[store.Topic]mesh.Word // of the store to this node, and to nodes that this one fetched from
+	recent        store.Recent              // changes of the list
+	plannerSeenAt atomic.Int64              // when another node was last known to hold the lease, in ns since the start
 }
 
 // Option configures a Node.
@@ -121,7 +120,7 @@
 		stats: stats.New(), rowLost: make(chan struct{}, 1),
 		budget:       retry.NewWindow(c.RetryShare, c.RetryExtra, c.RetryWindow),
 		storeFailing: make(map[store.Topic]bool), storeReadAt: make(map[store.Topic]time.Time),
-		storeReadBefore: make(map[store.Topic]time.Time), words: make(map[store.Topic]mesh.Word),
+		words:  make(map[store.Topic]mesh.Word),
 		outage: fleet.NewOutage(c.HeartbeatInterval, expiryGrace),
 	}
 	for _, o := range opts {
@@ -164,6 +163,8 @@
 	n.stats.Gauge("caller-bytes-limit", func() any { return n.callerBudget.Limit() })
 	n.stats.Gauge("caller-bytes-evictions", func() any { return n.callerBudget.Evicted() })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
+	n.stats.Gauge("configuration-version", func() any { version, _ := n.Versions(); return version })
+	n.stats.Gauge("configuration-confirmed-ms", func() any { return n.believes(store.Configuration).age.Milliseconds() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
 	n.lease.SetStandby(n.leavesLease)
 	n.lease.SetEligible(func() bool { return !tracker.IsIsolated() })
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -37,6 +37,7 @@
 	since     store.Revision // after which the rows changed; zero for a snapshot
 	snapshot  bool           // rows are all rows of the topic
 	fromStore bool           // read from the store, not fetched from another node
+	from      mesh.Peer      // from which it was fetched; the zero Peer if it was read from the store
 }
 
 // control maintains the node's copy of the store's data; one goroutine runs it.
@@ -105,7 +106,7 @@
 	switch ch.topic {
 	case store.Configuration:
 		for _, row := range ch.rows {
-			c.applyConfiguration(row, ch.fromStore)
+			c.applyConfiguration(row, ch)
 		}
 	case store.Upstreams:
 		through := ch.word.Through
@@ -152,7 +153,7 @@
 }
 
 // applyConfiguration puts a newer configuration in force; one that can't be decoded changes nothing.
-func (c *control) applyConfiguration(row store.FeedRow, fromStore bool) {
+func (c *control) applyConfiguration(row store.FeedRow, ch change) {
 	if row.Removed {
 		return
 	}
@@ -166,12 +167,7 @@
 	}
 	c.rules, c.rawRules = r, row.Value
 	c.node.sizeBudget(r)
-	source := "another node"
-	if fromStore {
-		source = "store"
-	}
-	c.node.log.Info("configuration", "version", r.Version(), "routes", r.Routes(), "lacks-teams", c.node.lacksTeams(r), "source", source,
-		"previous-answer-ms", c.node.sinceAnswer(store.Configuration).Milliseconds())
+	c.node.logConfiguration(r, ch)
 }
 
 // maxEntryLines is how many changed entries that come together are logged one by one.
--- a/io/mesh/fetch.go
+++ b/io/mesh/fetch.go
@@ -95,7 +95,7 @@
 		return StoreState{}, err
 	}
 	fetched := StoreState{
-		RawRules: reply.GetConfiguration(), NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord()),
+		RawRules: reply.GetConfiguration(), NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord()), From: p,
 	}
 	if reply.GetList() > 0 {
 		fetched.Rows, fetched.ListWord = decodeRows(reply.GetEntries()), decodeWord(reply.GetListWord())
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -43,6 +43,7 @@
 	RulesWord    Word            // on the configuration
 	ListWord     Word            // on the list
 	ListNews     store.News      // latest changes of the list, up to one that the word covers at least
+	From         Peer            // node from which the data were fetched; the zero Peer for a node's own
 }
 
 // CrashRegistry receives the marks that other nodes set on requests that crash upstreams.
--- a/io/mesh/readers.go
+++ b/io/mesh/readers.go
@@ -37,17 +37,18 @@
 // Evidence is what the other nodes say of the store on one topic to a node that has all changes up to some revision.
 type Evidence struct {
 	ConfirmedAt time.Time // when the store last confirmed that it has no others; zero if unknown
+	ConfirmedBy string    // name of the node that says so
 	IsBehind    bool      // another node knows of one that this node may lack
 }
 
 // add adds the word that reached another node.
-func (e *Evidence) add(w Word, through store.Revision) {
+func (e *Evidence) add(node string, w Word, through store.Revision) {
 	switch {
 	case w.ConfirmedAt.IsZero():
 	case w.Changed.Compare(through) > 0:
 		e.IsBehind = true
 	case w.ConfirmedAt.After(e.ConfirmedAt):
-		e.ConfirmedAt = w.ConfirmedAt
+		e.ConfirmedAt, e.ConfirmedBy = w.ConfirmedAt, node
 	}
 }
 
@@ -96,6 +97,21 @@
 // each reads for itself.
 func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.ReadsForOthers() }
 
+// Role returns what this node does for others, as logs show it: "reader" of the store, "relay", "member" of many nodes, or "alone"
+// where the nodes exchange their states directly.
+func (m *Mesh) Role() string {
+	r := m.role.Load()
+	switch {
+	case !m.usesRelays():
+		return "alone"
+	case r != nil && r.isReader:
+		return "reader"
+	case r != nil && r.isRelay:
+		return "relay"
+	}
+	return "member"
+}
+
 // EvidenceFor returns what the other nodes say of the store on a topic to a node that has all changes up to a revision. A
 // confirmation counts only if the newest change before it is one that this node has, and with the age that it had on arrival.
 func (m *Mesh) EvidenceFor(t store.Topic, through store.Revision) Evidence {
@@ -104,7 +120,7 @@
 	var e Evidence
 	for _, s := range m.peers {
 		if time.Since(s.LastSeen) <= peerTTL {
-			e.add(s.wordOn(t), through)
+			e.add(s.Name, s.wordOn(t), through)
 		}
 	}
 	return e
