--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -31,6 +31,7 @@
 	mostBytes     int            // in one datagram
 	cutDataCentre string         // from and to which no datagram arrives
 	datagramsSent map[string]int // by sender
+	inFlight      []delivery     // of exchangeDelayed
 }
 
 // member is one node of a group.
@@ -134,11 +135,26 @@
 	return nil
 }
 
+// delivery is a datagram on its way.
+type delivery struct {
+	to     *member
+	digest *wire.Digest
+	due    time.Time // when it arrives
+}
+
 // deliverFrom sends and delivers the datagrams of one node in one period.
 func (g *group) deliverFrom(from *member, sequence uint32) {
 	if from.isStopped {
 		return
 	}
+	for _, d := range g.sendFrom(from, sequence) {
+		d.to.handleDigest(d.digest)
+	}
+}
+
+// sendFrom returns the datagrams of one node in one period, as those that receive them decode them.
+func (g *group) sendFrom(from *member, sequence uint32) []delivery {
+	var sent []delivery
 	for _, d := range from.datagrams(from.Mesh.digest(sequence), from.knownNodes()) {
 		raw, err := proto.Marshal(d.digest)
 		if err != nil {
@@ -154,9 +170,10 @@
 			if err := proto.Unmarshal(raw, &received); err != nil {
 				g.t.Fatal(err)
 			}
-			to.handleDigest(&received)
+			sent = append(sent, delivery{to: to, digest: &received, due: time.Now()})
 		}
 	}
+	return sent
 }
 
 // reserve makes node i reserve capacity for i+1 requests on the first upstream, and returns the number of all requests.
