Date the digests of other nodes by the echo of the node's own clock

Cause: nodes that leave reading the store to others trust the age of its latest confirmation, in digests. An age counted from a digest's arrival, so that the time on the way was lost at each step; it was rounded down; and as each node passes on the youngest that it has, the loss repeated each time it went round. From some 60 ms on the way on, the word stopped ageing: with all readers cut off, nobody polled.

Change: each digest states when it was made, by the sender's steady clock, and returns to the receiver the time of the latest digest that arrived from it, with the time for which it was held. What comes back was made later than that, so that the receiver has an earliest time for it by its own clock alone, whatever the delay, and also if it stood still meanwhile. All ages of a digest count from there: words of the store, limits, doubts, crash marks and demand. Ages are rounded up. A fetch counts ages from its request. A word that can't be dated, as of an older build, tells of changes but confirms nothing; a node without another word polls for itself.

Weighed: statements of readers passed on unchanged and dated by the least offset of two clocks seen. It leaves a delay that never goes away in the age, and needs state for each reader; the echo needs neither.

Evidence: TestNoDelayMakesTheWordOfTheStoreYounger failed in all ten cases and passes.

--- a/io/mesh/doubts.go
+++ b/io/mesh/doubts.go
@@ -21,15 +21,15 @@
 	newFactAge  = 500 * time.Millisecond // older ones are left to the periods
 )
 
-// doubtsOf returns what a digest states of upstreams that refused requests.
-func doubtsOf(d *wire.Digest) map[uint32]board.Doubt {
+// doubtsOf returns what a digest that was on its way for a time states of upstreams that refused requests.
+func doubtsOf(d *wire.Digest, onTheWay time.Duration) map[uint32]board.Doubt {
 	doubts := make(map[uint32]board.Doubt, len(d.GetDoubts()))
 	for _, w := range d.GetDoubts() {
 		doubt := board.Doubt{
-			RefusedAge: milliseconds(w.GetRefusedMs()), AnsweredAge: -1, Count: int(w.GetCount()), Sources: w.GetSources(),
+			RefusedAge: milliseconds(w.GetRefusedMs()) + onTheWay, AnsweredAge: -1, Count: int(w.GetCount()), Sources: w.GetSources(),
 		}
 		if w.GetAnswered() {
-			doubt.AnsweredAge = milliseconds(w.GetAnsweredMs())
+			doubt.AnsweredAge = milliseconds(w.GetAnsweredMs()) + onTheWay
 		}
 		doubts[w.GetUpstream()] = doubt
 	}
@@ -38,16 +38,17 @@
 
 func encodeDoubt(hash uint32, d board.Doubt) *wire.Doubt {
 	return &wire.Doubt{
-		Upstream: hash, RefusedMs: uint32(d.RefusedAge.Milliseconds()), Answered: d.AnsweredAge >= 0,
-		AnsweredMs: uint32(max(0, d.AnsweredAge).Milliseconds()), Count: uint32(d.Count), Sources: d.Sources,
+		Upstream: hash, RefusedMs: encodeAge(d.RefusedAge), Answered: d.AnsweredAge >= 0,
+		AnsweredMs: encodeAge(d.AnsweredAge), Count: uint32(d.Count), Sources: d.Sources,
 	}
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// handleFacts applies a digest with facts alone. A relay passes on what it did not know.
+// handleFacts applies a digest with facts alone. A relay passes on what it did not know, so that none goes round and gains the time on
+// the way again.
 func (m *Mesh) handleFacts(d *wire.Digest) {
-	if !m.board.ApplyDoubts(doubtsOf(d)) || !m.usesRelays() {
+	if !m.board.ApplyDoubts(doubtsOf(d, 0)) || !m.usesRelays() {
 		return
 	}
 	select {
--- a/io/mesh/fetch.go
+++ b/io/mesh/fetch.go
@@ -75,6 +75,7 @@
 }
 
 func fetch(ctx context.Context, p Peer, own StoreState) (StoreState, error) {
+	askedAt := time.Now() // the other node states ages later than this
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -95,10 +96,10 @@
 		return StoreState{}, err
 	}
 	fetched := StoreState{
-		RawRules: reply.GetConfiguration(), NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord()), From: p,
+		RawRules: reply.GetConfiguration(), NodeRows: decodeRows(reply.GetNodes()), RulesWord: decodeWord(reply.GetRulesWord(), askedAt), From: p,
 	}
 	if reply.GetList() > 0 {
-		fetched.Rows, fetched.ListWord = decodeRows(reply.GetEntries()), decodeWord(reply.GetListWord())
+		fetched.Rows, fetched.ListWord = decodeRows(reply.GetEntries()), decodeWord(reply.GetListWord(), askedAt)
 	}
 	return fetched, nil
 }
@@ -127,8 +128,9 @@
 
 // News returns the data that is newer here than the versions in the request.
 func (s *server) News(ctx context.Context, in *wire.NewsRequest) (*wire.NewsReply, error) {
+	now := time.Now()
 	state := s.mesh.storeState()
-	out := &wire.NewsReply{RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord)}
+	out := &wire.NewsReply{RulesWord: encodeWord(state.RulesWord, now), ListWord: encodeWord(state.ListWord, now)}
 	if state.RulesVersion > in.GetRules() {
 		out.Configuration = state.RawRules
 	}
--- a/io/mesh/load.go
+++ b/io/mesh/load.go
@@ -29,7 +29,7 @@
 	for hash, e := range entries(m.meter) {
 		list = append(list, &wire.Load{
 			Place: hash, Offered: units(e.Offered, 1), Unserved: units(e.Unserved, 1),
-			Admitted: units(e.Admitted, rateScale), Refused: units(e.Refused, rateScale), AgeMs: uint32(e.Age.Milliseconds()),
+			Admitted: units(e.Admitted, rateScale), Refused: units(e.Refused, rateScale), AgeMs: encodeAge(e.Age),
 		})
 	}
 	return list
@@ -40,8 +40,8 @@
 	return uint32(math.Round(min(math.MaxUint32, max(0, rate*scale))))
 }
 
-// applyLoads passes on the demand that a digest states. Most digests, and all of older builds, state none.
-func (m *Mesh) applyLoads(d *wire.Digest) {
+// applyLoads passes on the demand that a digest states which was on its way for a time. Most digests, and all of older builds, state none.
+func (m *Mesh) applyLoads(d *wire.Digest, onTheWay time.Duration) {
 	if m.meter == nil || len(d.GetLoads()) == 0 {
 		return
 	}
@@ -50,7 +50,7 @@
 		entries[l.GetPlace()] = demand.Entry{Rate: demand.Rate{
 			Offered: float64(l.GetOffered()), Unserved: float64(l.GetUnserved()),
 			Admitted: float64(l.GetAdmitted()) / rateScale, Refused: float64(l.GetRefused()) / rateScale,
-		}, Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
+		}, Age: milliseconds(l.GetAgeMs()) + onTheWay}
 	}
 	switch d.GetScope() {
 	case wire.Scope_NODE:
--- a/io/mesh/marks.go
+++ b/io/mesh/marks.go
@@ -125,8 +125,8 @@
 	return uint32(mark.Fingerprint.Key()) + uint32(mark.Prolonged)
 }
 
-// applyMarks applies the crash marks in a digest, up to a limit that no node reaches.
-func (m *Mesh) applyMarks(d *wire.Digest) {
+// applyMarks applies the crash marks in a digest that was on its way for a time, up to a limit that no node reaches.
+func (m *Mesh) applyMarks(d *wire.Digest, onTheWay time.Duration) {
 	crashes := d.GetCrashes()
 	if n := len(crashes); n > maxReceivedMarks {
 		m.count(counterMarks)
@@ -142,7 +142,7 @@
 		m.crashes.ApplyMark(crash.Mark{
 			Fingerprint: crash.Fingerprint(c.GetFingerprint()), Upstream: c.GetUpstream(), DataCentre: c.GetDataCentre(),
 			Stamp: c.GetStamp(), Symptom: crash.Symptom(c.GetSign()), Cleared: c.GetCleared(),
-			Age: time.Duration(c.GetAgeMs()) * time.Millisecond, Quarantined: c.GetQuarantined(),
+			Age: milliseconds(c.GetAgeMs()) + onTheWay, Quarantined: c.GetQuarantined(),
 			Prolonged: int(c.GetProlonged()), Ran: time.Duration(c.GetRanMs()) * time.Millisecond,
 		})
 	}
@@ -151,7 +151,7 @@
 func encodeMark(mark crash.Mark) *wire.Crash {
 	return &wire.Crash{
 		Fingerprint: string(mark.Fingerprint), Upstream: mark.Upstream, DataCentre: mark.DataCentre, Stamp: mark.Stamp,
-		Sign: uint32(mark.Symptom), Cleared: mark.Cleared, AgeMs: uint32(mark.Age.Milliseconds()),
+		Sign: uint32(mark.Symptom), Cleared: mark.Cleared, AgeMs: encodeAge(mark.Age),
 		Quarantined: mark.Quarantined, Prolonged: uint32(mark.Prolonged), RanMs: uint32(mark.Ran.Milliseconds()),
 	}
 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -106,6 +106,7 @@
 	listedNodes func() map[string]Node
 	log         logr.Logger
 	incarnation uint64
+	started     time.Time // from which steadyTime counts
 
 	crashes CrashRegistry
 	retries RetryBudget
@@ -133,6 +134,8 @@
 	Peer
 	incarnation   uint64
 	sequence      uint32
+	madeUs        uint64       // when the latest datagram was made, by the other node's clock; 0 if it did not say
+	handledAt     time.Time    // when that was handled here
 	latest        *wire.Digest // of any scope
 	ownDigest     *wire.Digest // of the node alone
 	latestBytes   int          // encoded size of latest, or 0 if the node is listed
@@ -154,7 +157,7 @@
 	m := &Mesh{
 		config: c, board: b, crashes: crashes, retries: retries, storeState: storeState, listedNodes: listedNodes, log: log,
 		peers: make(map[string]*peerState), awaited: newAwaited(),
-		incarnation: uint64(time.Now().UnixNano()), news: make(chan struct{}, 1),
+		incarnation: uint64(time.Now().UnixNano()), started: time.Now(), news: make(chan struct{}, 1),
 		connLimit: defaultConns, onLimit: func(string, string) {}, count: func(string) {},
 	}
 	for _, o := range opts {
@@ -246,18 +249,20 @@
 		m.mu.Unlock()
 		return
 	}
+	received := m.receiptOf(d)
 	s.incarnation, s.sequence = d.GetIncarnation(), d.GetSequence()
-	s.Peer = peerOf(d)
+	s.madeUs, s.handledAt = d.GetMadeUs(), received.handledAt
+	s.Peer = peerOf(d, received)
 	m.awaited.heard(d.GetNode())
 	s.latest, s.latestBytes = d, size
 	if d.GetScope() == wire.Scope_NODE {
 		s.ownDigest, s.ownBytes, s.ownReceivedAt = d, size, time.Now()
 	}
 	m.mu.Unlock()
-	m.applyMarks(d)
-	m.board.ApplyLimits(limitsOf(d))
-	m.board.ApplyDoubts(doubtsOf(d))
-	m.applyLoads(d)
+	m.applyMarks(d, received.onTheWay())
+	m.board.ApplyLimits(limitsOf(d, received.onTheWay()))
+	m.board.ApplyDoubts(doubtsOf(d, received.onTheWay()))
+	m.applyLoads(d, received.onTheWay())
 	if d.GetScope() == wire.Scope_NODE && m.usesRelays() {
 		return // a relay's sum contains it
 	}
@@ -266,19 +271,19 @@
 	}
 }
 
-// peerOf returns a node as a datagram that has just arrived describes it.
-func peerOf(d *wire.Digest) Peer {
+// peerOf returns a node as a datagram describes it.
+func peerOf(d *wire.Digest, r receipt) Peer {
 	return Peer{Name: d.GetNode(), DataCentre: d.GetDataCentre(), RPCAddress: d.GetQuestions(), RulesVersion: d.GetRules(),
-		LastSeen: time.Now(), IsPlanner: d.GetPlans(),
-		RulesWord: decodeWord(d.GetRulesWord()), ListWord: decodeWord(d.GetListWord())}
+		LastSeen: r.handledAt, IsPlanner: d.GetPlans(),
+		RulesWord: decodeWord(d.GetRulesWord(), r.madeAt), ListWord: decodeWord(d.GetListWord(), r.madeAt)}
 }
 
-// limitsOf returns the limits of upstreams that a digest states.
-func limitsOf(d *wire.Digest) map[uint32]pacer.Statement {
+// limitsOf returns the limits of upstreams that a digest states which was on its way for a time.
+func limitsOf(d *wire.Digest, onTheWay time.Duration) map[uint32]pacer.Statement {
 	limits := make(map[uint32]pacer.Statement, len(d.GetLimits()))
 	for _, l := range d.GetLimits() {
 		limits[l.GetUpstream()] = pacer.Statement{
-			PerSecond: l.GetPerSecond(), IsLifted: l.GetLifted(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+			PerSecond: l.GetPerSecond(), IsLifted: l.GetLifted(), Age: milliseconds(l.GetAgeMs()) + onTheWay,
 		}
 	}
 	return limits
@@ -399,16 +404,18 @@
 
 // digest returns this node's own digest.
 func (m *Mesh) digest(sequence uint32) *wire.Digest {
+	madeAt := time.Now()
 	state := m.storeState()
 	evidence := m.crashes.Evidence()
 	d := &wire.Digest{
-		Node: m.config.Node, Incarnation: m.incarnation, Sequence: sequence,
+		MadeUs: m.steadyTime(madeAt),
+		Node:   m.config.Node, Incarnation: m.incarnation, Sequence: sequence,
 		Rules: state.RulesVersion, List: state.ListWord.Through.Number,
 		DataCentre: m.config.DataCentre, Plans: state.IsPlanner, Crashes: m.marksToSend(sequence, evidence),
 		Address: m.config.DatagramAddress, Questions: m.config.RPCAddress, Resting: m.board.FailedHashes(),
 		Refusing: m.board.RefusingHashes(), Quarantined: quarantinedHashes(evidence),
 		Settled: uint32(m.retries.Coverage().Settled), TakesFacts: true,
-		RulesWord: encodeWord(state.RulesWord), ListWord: encodeWord(state.ListWord), Capacity: m.config.Capacity,
+		RulesWord: encodeWord(state.RulesWord, madeAt), ListWord: encodeWord(state.ListWord, madeAt), Capacity: m.config.Capacity,
 		ListNews: m.listNews(state.ListNews), Loads: m.loads(sequence, (*demand.Meter).Own),
 	}
 	for hash, c := range m.board.Claims() {
@@ -425,7 +432,7 @@
 	}
 	for hash, s := range m.board.Limits() {
 		d.Limits = append(d.Limits, &wire.Limit{
-			Upstream: hash, PerSecond: s.PerSecond, Lifted: s.IsLifted, AgeMs: uint32(s.Age.Milliseconds()),
+			Upstream: hash, PerSecond: s.PerSecond, Lifted: s.IsLifted, AgeMs: encodeAge(s.Age),
 		})
 	}
 	for hash, doubt := range m.board.Doubts() {
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -18,7 +18,6 @@
 	"rhubarbspread/io/mesh/wire"
 
 	"github.com/go-logr/logr"
-	"google.golang.org/protobuf/proto"
 )
 
 // group is a set of nodes whose datagrams the test delivers.
@@ -135,47 +134,6 @@
 	return nil
 }
 
-// delivery is a datagram on its way.
-type delivery struct {
-	to     *member
-	digest *wire.Digest
-	due    time.Time // when it arrives
-}
-
-// deliverFrom sends and delivers the datagrams of one node in one period.
-func (g *group) deliverFrom(from *member, sequence uint32) {
-	if from.isStopped {
-		return
-	}
-	for _, d := range g.sendFrom(from, sequence) {
-		d.to.handleDigest(d.digest)
-	}
-}
-
-// sendFrom returns the datagrams of one node in one period, as those that receive them decode them.
-func (g *group) sendFrom(from *member, sequence uint32) []delivery {
-	var sent []delivery
-	for _, d := range from.datagrams(from.Mesh.digest(sequence), from.knownNodes()) {
-		raw, err := proto.Marshal(d.digest)
-		if err != nil {
-			g.t.Fatal(err)
-		}
-		g.bytesSent += len(raw)
-		g.mostBytes = max(g.mostBytes, len(raw))
-		g.datagramsSent[from.config.Node]++
-		to := g.at(d.to)
-		isCut := to != nil && (from.dataCentre == g.cutDataCentre) != (to.dataCentre == g.cutDataCentre)
-		if to != nil && !to.isStopped && !isCut {
-			var received wire.Digest
-			if err := proto.Unmarshal(raw, &received); err != nil {
-				g.t.Fatal(err)
-			}
-			sent = append(sent, delivery{to: to, digest: &received, due: time.Now()})
-		}
-	}
-	return sent
-}
-
 // reserve makes node i reserve capacity for i+1 requests on the first upstream, and returns the number of all requests.
 func (g *group) reserve() int {
 	total := 0
--- a/io/mesh/readers.go
+++ b/io/mesh/readers.go
@@ -11,27 +11,34 @@
 
 // Word is what the store last confirmed of one topic to some node, as far as a node knows.
 type Word struct {
-	Through     store.Revision // up to which the node has all changes
-	Changed     store.Revision // of the newest change that it knows of, or of its snapshot
-	ConfirmedAt time.Time      // when the store confirmed that nothing has changed since, in this node's time; zero if it never did
+	Through store.Revision // up to which the node has all changes
+	Changed store.Revision // of the newest change that it knows of, or of its snapshot
+	// ConfirmedAt is when the store confirmed that nothing has changed since, or a little earlier, in this node's time; zero if that
+	// is not known.
+	ConfirmedAt time.Time
 }
 
-// encodeWord returns nil for a word that says nothing.
-func encodeWord(w Word) *wire.Word {
+// encodeWord returns nil for a word that says nothing. Its age counts until now.
+func encodeWord(w Word, now time.Time) *wire.Word {
 	if w.ConfirmedAt.IsZero() {
 		return nil
 	}
 	return &wire.Word{Era: w.Changed.Era, Changed: w.Changed.Number, Through: w.Through.Number,
-		AgeMs: uint32(time.Since(w.ConfirmedAt).Milliseconds())}
+		AgeMs: encodeAge(now.Sub(w.ConfirmedAt))}
 }
 
-// decodeWord returns a word that has just arrived.
-func decodeWord(w *wire.Word) Word {
+// decodeWord returns a word that was encoded at a time or later. If the time is zero, the word confirms nothing, but still tells of
+// the newest change.
+func decodeWord(w *wire.Word, encodedAt time.Time) Word {
 	if w == nil {
 		return Word{}
 	}
-	return Word{Through: store.Revision{Era: w.GetEra(), Number: w.GetThrough()},
-		Changed: store.Revision{Era: w.GetEra(), Number: w.GetChanged()}, ConfirmedAt: time.Now().Add(-milliseconds(w.GetAgeMs()))}
+	word := Word{Through: store.Revision{Era: w.GetEra(), Number: w.GetThrough()},
+		Changed: store.Revision{Era: w.GetEra(), Number: w.GetChanged()}}
+	if !encodedAt.IsZero() {
+		word.ConfirmedAt = encodedAt.Add(-milliseconds(w.GetAgeMs()))
+	}
+	return word
 }
 
 // Evidence is what the other nodes say of the store on one topic to a node that has all changes up to some revision.
@@ -44,7 +51,6 @@
 // add adds the word that reached another node.
 func (e *Evidence) add(node string, w Word, through store.Revision) {
 	switch {
-	case w.ConfirmedAt.IsZero():
 	case w.Changed.Compare(through) > 0:
 		e.IsBehind = true
 	case w.ConfirmedAt.After(e.ConfirmedAt):
@@ -113,7 +119,7 @@
 }
 
 // EvidenceFor returns what the other nodes say of the store on a topic to a node that has all changes up to a revision. A
-// confirmation counts only if the newest change before it is one that this node has, and with the age that it had on arrival.
+// confirmation counts only if the newest change before it is one that this node has.
 func (m *Mesh) EvidenceFor(t store.Topic, through store.Revision) Evidence {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,43 +128,22 @@
 	}
 }
 
-// exchangeDelayed lets all nodes send their digests for some periods, each at a moment of its own, and delivers them after a delay.
-func (g *group) exchangeDelayed(periods int, delayTo func(from, to *member) time.Duration) {
-	for range periods {
-		g.sequence++
-		for _, from := range g.nodes {
-			for _, d := range g.sendFrom(from, g.sequence) {
-				d.due = d.due.Add(delayTo(from, d.to))
-				g.inFlight = append(g.inFlight, d)
-			}
-			time.Sleep(gossipPeriod / time.Duration(len(g.nodes)))
-			g.inFlight = slices.DeleteFunc(g.inFlight, func(d delivery) bool {
-				isDue := !d.due.After(time.Now())
-				if isDue {
-					d.to.handleDigest(d.digest)
-				}
-				return isDue
-			})
-		}
-	}
-}
-
 // TestNoDelayMakesTheWordOfTheStoreYounger guards against nodes that go on trusting the store's word, and so miss a version, as it gains
 // on its way from node to node the time that datagrams take.
 func TestNoDelayMakesTheWordOfTheStoreYounger(t *testing.T) {
-	slowRelay := func(from, to *member) time.Duration {
+	slowRelay := func(from *member) time.Duration {
 		if role := from.role.Load(); role != nil && role.isRelay && NameHash(from.config.Node)%2 == 0 {
 			return 300 * time.Millisecond
 		}
 		return time.Millisecond
 	}
-	constant := func(delay time.Duration) func(from, to *member) time.Duration {
-		return func(*member, *member) time.Duration { return delay }
+	constant := func(delay time.Duration) func(from *member) time.Duration {
+		return func(*member) time.Duration { return delay }
 	}
 	for _, n := range []int{24, 109} {
 		for _, tc := range []struct {
 			name    string
-			delayTo func(from, to *member) time.Duration
+			delay   func(from *member) time.Duration
 			longest time.Duration // way of a datagram
 		}{
 			{"1 ms", constant(time.Millisecond), time.Millisecond},
@@ -177,13 +155,13 @@
 			t.Run(fmt.Sprintf("%d nodes, %s", n, tc.name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					g := newReaderGroup(t, n)
-					g.exchangeDelayed(20, tc.delayTo)
+					g.exchangeDelayed(20, tc.delay)
 					g.checkEvidence(t, "before the cut", wordBound+2*relayedHops*tc.longest)
 					for _, m := range g.nodes {
 						m.isCutFromStore = true
 					}
 					cutAt := time.Now()
-					g.exchangeDelayed(20, tc.delayTo)
+					g.exchangeDelayed(20, tc.delay)
 					for _, m := range g.nodes {
 						if e := m.EvidenceFor(store.Configuration, testThrough); e.ConfirmedAt.After(cutAt) {
 							t.Fatalf("%s takes the store's word for %v old, %v after the last node was cut off from it", m.config.Node,
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -43,8 +43,8 @@
 	var out []datagram
 	if len(others) < RelayThreshold {
 		m.setRole(role{})
-		for _, n := range others {
-			out = append(out, datagram{n.Address, digest})
+		for name, n := range others {
+			out = append(out, datagram{n.Address, m.addressed(digest, name)})
 		}
 		return out
 	}
@@ -53,7 +53,7 @@
 	ownRelays := relays[m.config.DataCentre]
 	for _, name := range ownRelays.receivers {
 		if name != m.config.Node {
-			out = append(out, datagram{others[name].Address, digest})
+			out = append(out, datagram{others[name].Address, m.addressed(digest, name)})
 		}
 	}
 	own := role{
@@ -146,7 +146,7 @@
 	for dataCentre, set := range relays {
 		for _, name := range set.receivers {
 			if dataCentre != m.config.DataCentre {
-				out = append(out, datagram{others[name].Address, dataCentreSum})
+				out = append(out, datagram{others[name].Address, m.addressed(dataCentreSum, name)})
 			}
 		}
 	}
@@ -158,6 +158,7 @@
 		if n, ok := others[d.GetNode()]; ok && m.isTurnOf(d.GetNode(), own.GetSequence(), len(members), ownRank) {
 			sum := total.digest(own, wire.Scope_OTHERS, own.GetRules(), own.GetList())
 			sum.Loads = loads
+			sum.Echo = m.echoFor(d.GetNode(), sum.GetMadeUs())
 			out = append(out, datagram{n.Address, sum})
 		}
 		total.add(d, 1)
@@ -304,7 +305,7 @@
 		Plans: s.planners > 0, Nodes: uint32(s.nodes), Settled: uint32(s.settled),
 		Limits: own.GetLimits(),                   // which include the newest of those received
 		Doubts: own.GetDoubts(), TakesFacts: true, // likewise
-		RulesWord: own.GetRulesWord(), ListWord: own.GetListWord(), ListNews: own.GetListNews(),
+		RulesWord: own.GetRulesWord(), ListWord: own.GetListWord(), ListNews: own.GetListNews(), MadeUs: own.GetMadeUs(),
 	}
 	for _, c := range s.claims {
 		if c.GetRunning() > 0 || c.GetFirst() > 0 {
