Count the store's word from when it can have answered at the earliest

Cause: an answer of the store confirmed that nothing had changed until the moment in which it was handled. It may have been on its way for 0.5 to 1.5 s, or have waited in the socket of a node that was frozen, which then told all others that an old state was the present one.

Change: a poll that returns changes, and a whole table, confirm the moment of the call; one without changes the end of its wait, for which the store holds it. The same moment stands for the node's own reads, by which it decides whether to say that a route does not exist.

Evidence: TestAnswerThatComesLateConfirmsNoLaterTime failed in its four cases (0.3 to 1.5 s too late) and passes.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -74,7 +74,7 @@
 			}
 			continue
 		}
-		n.recordSuccess(t)
+		n.recordSuccess(t, ch.word.ConfirmedAt)
 		f.failures, f.isUrgent = 0, false
 		f.hasSnapshot, f.since, f.confirmedAt = true, ch.word.Through, ch.word.ConfirmedAt
 		select {
@@ -88,9 +88,10 @@
 
 // readChange reads a topic, or polls once for its changes. Its error is errStoreSuspected if the poll was interrupted.
 func (n *Node) readChange(ctx context.Context, f *follower) (change, error) {
+	askedAt := time.Now()
 	if !f.hasSnapshot {
 		rows, through, err := n.platform.Feed.Snapshot(ctx, f.topic)
-		return newChange(f, rows, through), err
+		return newChange(f, rows, through, askedAt), err
 	}
 	n.stats.Count("store-polls-" + f.topic.String())
 	p := n.pollFor(f)
@@ -103,13 +104,13 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStoreSuspected) {
 		return change{}, errStoreSuspected
 	}
-	return newChange(f, rows, through), err
+	return newChange(f, rows, through, p.answeredAt(askedAt, len(rows) > 0)), err
 }
 
-// newChange returns the answer of the store on a topic, which reflects a revision.
-func newChange(f *follower, rows []store.FeedRow, through store.Revision) change {
+// newChange returns the answer of the store on a topic, which reflects a revision and was given at a time or later.
+func newChange(f *follower, rows []store.FeedRow, through store.Revision, answeredAt time.Time) change {
 	ch := change{topic: f.topic, rows: rows, snapshot: !f.hasSnapshot, fromStore: true}
-	ch.word = mesh.Word{Through: through, Changed: through, ConfirmedAt: time.Now()}
+	ch.word = mesh.Word{Through: through, Changed: through, ConfirmedAt: answeredAt}
 	if !ch.snapshot { // a snapshot does not tell when a row was removed
 		ch.word.Changed.Number, ch.since = newestVersion(rows), f.since
 	}
@@ -158,6 +159,15 @@
 	margin time.Duration // after that, until it is given up
 }
 
+// answeredAt returns the earliest time at which the store can have answered a poll that was sent at a time and is being handled now.
+// Without changes it holds a poll for the whole wait. The answer may have been on its way for long, or waited for a node that stood still.
+func (p poll) answeredAt(askedAt time.Time, hasChanges bool) time.Time {
+	if heldUntil := askedAt.Add(p.wait); !hasChanges && !heldUntil.After(time.Now()) {
+		return heldUntil
+	}
+	return askedAt
+}
+
 // pollFor returns the times of the next poll for a topic's changes.
 func (n *Node) pollFor(f *follower) poll {
 	bound := n.changeBound()
@@ -245,11 +255,11 @@
 	}
 }
 
-// recordSuccess records a successful call of the store.
-func (n *Node) recordSuccess(t store.Topic) {
+// recordSuccess records a successful call of the store, which answered at a time or later.
+func (n *Node) recordSuccess(t store.Topic, answeredAt time.Time) {
 	n.storeMu.Lock()
 	defer n.storeMu.Unlock()
-	n.storeReadAt[t] = time.Now()
+	n.storeReadAt[t] = answeredAt
 	if t == store.Upstreams {
 		n.outage.ReadSucceeded(time.Now())
 	}
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -1,18 +1,22 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"rhubarbspread/core/store"
+	"rhubarbspread/io/hop"
 	"rhubarbspread/io/mesh"
+
+	"github.com/go-logr/logr"
 )
 
 // read returns the store's answer to a poll for the list that reflects a revision.
 func read(hasSnapshot bool, through store.Revision, rows ...store.FeedRow) change {
-	return newChange(&follower{topic: store.Upstreams, hasSnapshot: hasSnapshot}, rows, through)
+	return newChange(&follower{topic: store.Upstreams, hasSnapshot: hasSnapshot}, rows, through, time.Now())
 }
 
 func revision(number uint64) store.Revision { return store.Revision{Era: 1, Number: number} }
@@ -89,3 +93,53 @@
 		})
 	}
 }
+
+// TestAnswerThatComesLateConfirmsNoLaterTime guards against nodes that take an answer which was long on its way, or waited for a node
+// that stood still, for the store's present word.
+func TestAnswerThatComesLateConfirmsNoLaterTime(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		hasSnapshot bool
+		rows        []store.FeedRow
+		answersIn   time.Duration // after the call
+		want        time.Duration // latest moment that the word may confirm, after the call
+	}{
+		{"all rows", false, nil, 1500 * time.Millisecond, 0},
+		{"a change", true, []store.FeedRow{{Key: "u", Version: 3}}, 600 * time.Millisecond, 0},
+		{"no change, after the wait", true, nil, 900 * time.Millisecond, 500 * time.Millisecond},
+		{"no change, before the wait has ended", true, nil, 300 * time.Millisecond, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(Config{DrainBound: 3 * time.Second, ApplyBound: 3 * time.Second}, Platform{
+					NewEngines: func(*hop.Pool) Engines { return nil }, Feed: &lateFeed{rows: tc.rows, answersIn: tc.answersIn},
+				}, logr.Discard())
+				askedAt := time.Now()
+				ch, err := n.readChange(t.Context(), &follower{topic: store.Upstreams, hasSnapshot: tc.hasSnapshot})
+				if got := ch.word.ConfirmedAt.Sub(askedAt); err != nil || got != tc.want {
+					t.Errorf("the word confirms %v after the call, %v, want %v", got, err, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// lateFeed is a feed whose answers take some time.
+type lateFeed struct {
+	rows      []store.FeedRow
+	answersIn time.Duration
+}
+
+// Snapshot returns the rows.
+func (f *lateFeed) Snapshot(context.Context, store.Topic) ([]store.FeedRow, store.Revision, error) {
+	time.Sleep(f.answersIn)
+	return f.rows, revision(9), nil
+}
+
+// Changes returns the rows.
+func (f *lateFeed) Changes(ctx context.Context, t store.Topic, _ store.Revision, _ time.Duration) ([]store.FeedRow, store.Revision, error) {
+	return f.Snapshot(ctx, t)
+}
+
+// Write does nothing.
+func (f *lateFeed) Write(context.Context, string, []byte) error { return nil }
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -72,10 +72,10 @@
 		NewEngines:     func(*hop.Pool) Engines { return nil },
 		DecodeUpstream: func(id string, _ []byte) (*fleet.Upstream, error) { return &fleet.Upstream{ID: id, Service: "s"}, nil },
 	}, logr.Discard())
-	n.recordSuccess(store.Upstreams)
+	n.recordSuccess(store.Upstreams, time.Now())
 	n.recordFailure(store.Upstreams, errors.New("no answer"))
 	time.Sleep(2 * time.Second)
-	n.recordSuccess(store.Upstreams)
+	n.recordSuccess(store.Upstreams, time.Now())
 	return newControl(n)
 }
 
@@ -129,7 +129,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b store.FeedRow) int { return cmp.Compare(a.Version, b.Version) })
-	ch := newChange(f, rows, s.revision)
+	ch := newChange(f, rows, s.revision, time.Now())
 	f.hasSnapshot, f.since = true, s.revision
 	return ch
 }
