Confirm no configuration while a newer one can't be decoded

Cause: the store's word on a configuration was recorded also when that could not be decoded, or came from a node that was behind. The node went on with the older version, told others that it was the newest, and answered 404 for routes that only the newer one has.

Change: from an unreadable version on the node records no word on the configuration until one as new is in force, and refuses unknown routes as not run (503).

Evidence: TestUnreadableConfigurationIsNotConfirmed failed (the word covered revision 8 and 9, want 5) and passes.

--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -84,8 +84,10 @@
 	explaining     atomic.Bool  // a query is being answered
 	cutting        atomic.Bool  // a stop cuts off the callers that are left
 	stats          *stats.Set
-	announced      atomic.Bool   // this node's row has been written
-	rowLost        chan struct{} // receives a value when the store no longer has that row
+	announced      atomic.Bool // this node's row has been written
+	// lacksNewestRules is set while there is a newer configuration than that in force, which can't be decoded.
+	lacksNewestRules atomic.Bool
+	rowLost          chan struct{} // receives a value when the store no longer has that row
 
 	storeMu       sync.Mutex
 	storeFailing  map[store.Topic]bool
@@ -252,6 +254,9 @@
 // isConfigCurrent reports whether the configuration is known to be the newest, apart from changes so recent that they
 // need not be in force yet. While the poll for it waits, the polls for the list show whether the store is reached.
 func (n *Node) isConfigCurrent() bool {
+	if n.lacksNewestRules.Load() {
+		return false
+	}
 	if time.Since(n.evidence(store.Configuration).ConfirmedAt) < n.settings.Load().ApplyBound {
 		return true
 	}
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
 	"rhubarbspread/io/hop"
 	"rhubarbspread/io/mesh"
@@ -143,3 +145,46 @@
 
 // Write does nothing.
 func (f *lateFeed) Write(context.Context, string, []byte) error { return nil }
+
+// TestUnreadableConfigurationIsNotConfirmed guards against nodes that hold an older configuration for the newest, and tell others so, as
+// they can't decode a newer one.
+func TestUnreadableConfigurationIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Config{ApplyBound: 3 * time.Second}, Platform{
+			NewEngines: func(*hop.Pool) Engines { return nil },
+			DecodeRules: func(raw []byte) (*rules.Rules, error) {
+				if raw[0] == 0 {
+					return nil, errors.New("unreadable")
+				}
+				return rules.New(uint64(raw[0]), nil, nil, rules.Open{}, rules.Limits{}), nil
+			},
+		}, logr.Discard())
+		c := newControl(n)
+		f := &follower{topic: store.Configuration}
+		poll := func(through uint64, rows ...store.FeedRow) {
+			ch := newChange(f, rows, revision(through), time.Now())
+			n.recordSuccess(store.Configuration, time.Now())
+			n.recordSuccess(store.Upstreams, time.Now())
+			f.hasSnapshot, f.since = true, ch.word.Through
+			c.handle(ch)
+		}
+		check := func(when string, isCurrent bool, through uint64) {
+			t.Helper()
+			if got := n.newestWord(store.Configuration).Through.Number; n.isConfigCurrent() != isCurrent || got != through {
+				t.Errorf("%s: the word covers revision %d, the newest is in force: %v, want %d, %v", when, got, n.isConfigCurrent(), through,
+					isCurrent)
+			}
+		}
+		poll(5, store.FeedRow{Value: []byte{1}, Version: 5})
+		check("a version", true, 5)
+		poll(7, store.FeedRow{Value: []byte{0}, Version: 7})
+		poll(8)
+		check("an unreadable one", false, 5)
+		c.handle(change{topic: store.Configuration, rows: []store.FeedRow{{Value: []byte{2}}},
+			word: mesh.Word{Through: revision(6), Changed: revision(6), ConfirmedAt: time.Now()}})
+		poll(9)
+		check("one of another node from before it", false, 5)
+		poll(10, store.FeedRow{Value: []byte{3}, Version: 10})
+		check("a later one", true, 10)
+	})
+}
--- a/io/entry/state.go
+++ b/io/entry/state.go
@@ -50,6 +50,7 @@
 	list         store.Revision       // that the upstreams reflect at least
 	rules        *rules.Rules
 	rawRules     []byte
+	unreadable   store.Revision // of a configuration that can't be decoded, until a newer one is in force; zero for none
 	nodes        map[string]mesh.Node
 	rawNodes     map[string][]byte          // rows that nodes write; empty until they have been read
 	hasReadNodes bool                       // the rows of nodes have been read from the store
@@ -108,6 +109,10 @@
 		for _, row := range ch.rows {
 			c.applyConfiguration(row, ch)
 		}
+		// No word of the store covers what is in force while there is a newer configuration that can't be decoded.
+		isReadable := c.unreadable == store.Revision{}
+		c.node.lacksNewestRules.Store(!isReadable)
+		return isReadable
 	case store.Upstreams:
 		through := ch.word.Through
 		if through.Compare(c.list) < 0 {
@@ -159,9 +164,13 @@
 	}
 	r, err := c.node.platform.DecodeRules(row.Value)
 	if err != nil {
+		c.unreadable = ch.word.Changed
 		c.node.log.Error(err, "configuration-unreadable")
 		return
 	}
+	if ch.word.Changed.Compare(c.unreadable) >= 0 {
+		c.unreadable = store.Revision{}
+	}
 	if c.rules != nil && r.Version() <= c.rules.Version() {
 		return
 	}
