Bound the time for which a node believes that its long poll still stands

Cause: each of few nodes holds a poll of 10 s for the configuration. Only a failed call for another topic interrupts it, so that when this topic's connections alone hang, all nodes take the absence of an answer for the absence of a change until the poll ends.

Change: the belief that nothing has changed has a greatest age at few nodes as well. One of them, the first by the hashes of the names, polls for the configuration as the readers of many nodes do; the others hold their long polls, and interrupt them once neither that node's word nor the store's is younger than the deadline that members of many nodes have.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
-	n.polls.begin(f.topic, interrupt)
+	n.polls.begin(f.topic, pollInFlight{askedAt, p.wait, interrupt})
 	rows, through, err := n.platform.Feed.Changes(ctx, f.topic, f.since, p.wait)
 	if err != nil && errors.Is(context.Cause(ctx), errStoreSuspected) {
 		return change{}, errStoreSuspected
@@ -120,25 +120,42 @@
 // polls holds the polls in flight.
 type polls struct {
 	mu       sync.Mutex
-	inFlight map[store.Topic]context.CancelCauseFunc // the latest of each topic, which may have ended
+	inFlight map[store.Topic]pollInFlight // the latest of each topic, which may have ended
 }
 
-func (p *polls) begin(t store.Topic, interrupt context.CancelCauseFunc) {
+// pollInFlight is a poll that can be interrupted.
+type pollInFlight struct {
+	askedAt   time.Time
+	wait      time.Duration // for which the store holds it
+	interrupt context.CancelCauseFunc
+}
+
+func (p *polls) begin(t store.Topic, poll pollInFlight) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.inFlight == nil {
-		p.inFlight = make(map[store.Topic]context.CancelCauseFunc)
+		p.inFlight = make(map[store.Topic]pollInFlight)
+	}
+	p.inFlight[t] = poll
+}
+
+// interruptHeld interrupts a poll that the store has held for an age, which is then repeated at once. A poll that only waits for
+// a slow store is left alone.
+func (p *polls) interruptHeld(t store.Topic, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if poll, ok := p.inFlight[t]; ok && poll.wait > age && time.Since(poll.askedAt) >= age {
+		poll.interrupt(errStoreSuspected)
 	}
-	p.inFlight[t] = interrupt
 }
 
 // interruptOthers interrupts the polls for all topics but one, which are then repeated at once.
 func (p *polls) interruptOthers(t store.Topic) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for other, interrupt := range p.inFlight {
+	for other, poll := range p.inFlight {
 		if other != t {
-			interrupt(errStoreSuspected)
+			poll.interrupt(errStoreSuspected)
 		}
 	}
 }
@@ -159,6 +176,15 @@
 	margin time.Duration // after that, until it is given up
 }
 
+// checkHeldPoll interrupts the long poll for the configuration once it is no longer known that nothing has changed: it may hang while
+// those for other topics do not.
+func (n *Node) checkHeldPoll() {
+	deadline := n.evidenceDeadline()
+	if n.believes(store.Configuration).age >= deadline {
+		n.polls.interruptHeld(store.Configuration, deadline)
+	}
+}
+
 // answeredAt returns the earliest time at which the store can have answered a poll that was sent at a time and is being handled now.
 // Without changes it holds a poll for the whole wait. The answer may have been on its way for long, or waited for a node that stood still.
 func (p poll) answeredAt(askedAt time.Time, hasChanges bool) time.Time {
@@ -329,6 +355,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, fetchInterval)
 		own := n.storeState()
+		n.checkHeldPoll()
 		peer, ok := n.mesh.NewerPeer(own.RulesVersion, own.ListWord.Through)
 		needsSeed := own.RulesVersion == 0 || len(own.NodeRows) == 0 && time.Since(seedAskedAt) >= seedInterval
 		if !ok && needsSeed && n.isStoreFailing() && len(n.config.Seeds) > 0 {
--- a/io/entry/follow_test.go
+++ b/io/entry/follow_test.go
@@ -1,12 +1,19 @@
 package entry
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"rhubarbspread/core/rules"
 	"rhubarbspread/core/store"
+	"rhubarbspread/io/hop"
 	"rhubarbspread/io/mesh"
+
+	"github.com/go-logr/logr"
 )
 
 func TestListPauseLeavesTimeForACallThatFails(t *testing.T) {
@@ -142,3 +149,61 @@
 		}
 	}
 }
+
+// hangingFeed is a feed of the configuration whose held polls get no answer, as on connections that have gone silent, while others do.
+type hangingFeed struct {
+	lateFeed
+	versions []store.FeedRow
+}
+
+// Snapshot returns the latest version.
+func (f *hangingFeed) Snapshot(context.Context, store.Topic) ([]store.FeedRow, store.Revision, error) {
+	latest := f.versions[len(f.versions)-1]
+	return []store.FeedRow{latest}, revision(latest.Version), nil
+}
+
+// Changes returns the latest version to a call that does not wait.
+func (f *hangingFeed) Changes(
+	ctx context.Context, _ store.Topic, since store.Revision, wait time.Duration,
+) ([]store.FeedRow, store.Revision, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return nil, store.Revision{}, store.NewError(store.Uncertain, "no answer")
+	}
+	rows, through, _ := f.Snapshot(ctx, store.Configuration)
+	if through == since {
+		rows = nil
+	}
+	return rows, through, nil
+}
+
+// TestHangingPollDelaysNoConfiguration guards against a version that comes late at a node whose poll for the configuration hangs, while
+// its calls for other topics get answers.
+func TestHangingPollDelaysNoConfiguration(t *testing.T) {
+	const bound = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		feed := &hangingFeed{versions: []store.FeedRow{{Value: []byte{1}, Version: 1}}}
+		n := New(Config{DrainBound: bound, ApplyBound: bound, DatagramAddress: "127.0.0.1:0", RPCAddress: "127.0.0.1:0"}, Platform{
+			NewEngines: func(*hop.Pool) Engines { return nil }, Feed: feed,
+			DecodeRules: func(raw []byte) (*rules.Rules, error) {
+				return rules.New(uint64(raw[0]), nil, nil, rules.Open{}, rules.Limits{}), nil
+			},
+		}, logr.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		changes, c := make(chan change, maxTasks), newControl(n)
+		var ended sync.WaitGroup
+		ended.Go(func() { _ = c.run(ctx, changes) })
+		ended.Go(func() { _ = n.followTopic(ctx, store.Configuration, changes) })
+		ended.Go(func() { _ = n.fetchFromNodes(ctx, changes) })
+		for version := byte(2); version < 8; version++ {
+			time.Sleep(3*time.Second + time.Duration(version)*170*time.Millisecond) // at other moments of a poll
+			feed.versions = append(feed.versions, store.FeedRow{Value: []byte{version}, Version: uint64(version)})
+			time.Sleep(bound)
+			if got, _ := n.Versions(); got != uint64(version) {
+				t.Errorf("version %d is in force %v after the acknowledgement of version %d", got, bound, version)
+			}
+		}
+		cancel()
+		ended.Wait()
+	})
+}
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -9,7 +9,8 @@
 	"rhubarbspread/io/mesh"
 )
 
-// Where the nodes are many, few of them poll the store and say in their digests when it last confirmed what they
+// Where the nodes are few, one of them polls for the configuration at short intervals, and the others hold long polls, which they
+// interrupt once neither it nor the store has confirmed for a time what they have. Where the nodes are many, few of them poll the store and say in their digests when it last confirmed what they
 // have. The others poll only if they learn of something newer, or if the latest confirmation is so old that a poll which begins
 // later might end too late.
 const (
@@ -110,7 +111,7 @@
 	switch {
 	case n.delegates() && f.topic != store.Nodes:
 		n.awaitDuty(ctx, f, changes)
-	case n.mesh.ReadsForOthers() && f.topic != store.Nodes:
+	case n.mesh.ReadsForOthers() && (f.topic == store.Configuration || f.topic == store.Upstreams && n.isOfMany()):
 		sleep(ctx, time.Duration(readerPauseShare*float64(n.changeBound())))
 	case f.topic == store.Nodes && n.isOfMany():
 		sleep(ctx, max(manyNodesPause, n.pauseFor(f.topic)))
--- a/io/mesh/readers.go
+++ b/io/mesh/readers.go
@@ -61,7 +61,7 @@
 // role is what a node does for others.
 type role struct {
 	isRelay  bool // it adds up the digests of its data centre
-	isReader bool // it reads the store
+	isReader bool // it reads the store; of few nodes, the configuration
 }
 
 // setRole sets what this node does for others in this period.
@@ -104,14 +104,14 @@
 func (m *Mesh) LeavesReading() bool { return m.usesRelays() && !m.ReadsForOthers() }
 
 // Role returns what this node does for others, as logs show it: "reader" of the store, "relay", "member" of many nodes, or "alone"
-// where the nodes exchange their states directly.
+// where the nodes exchange their states directly and each reads for itself.
 func (m *Mesh) Role() string {
 	r := m.role.Load()
 	switch {
-	case !m.usesRelays():
-		return "alone"
 	case r != nil && r.isReader:
 		return "reader"
+	case !m.usesRelays():
+		return "alone"
 	case r != nil && r.isRelay:
 		return "relay"
 	}
--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -221,3 +221,24 @@
 		}
 	})
 }
+
+// TestOneOfFewNodesReadsTheConfigurationForAll guards against polls at short intervals by each of few nodes, and against none once the
+// node that makes them has stopped.
+func TestOneOfFewNodesReadsTheConfigurationForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newReaderGroup(t, 9)
+		for range 3 {
+			var readers []*member
+			for _, m := range g.nodes {
+				if !m.isStopped && m.ReadsForOthers() {
+					readers = append(readers, m)
+				}
+			}
+			if len(readers) != 1 {
+				t.Fatalf("%d nodes read the configuration for the others, want 1", len(readers))
+			}
+			readers[0].isStopped = true
+			g.exchange(int(peerTTL/gossipPeriod) + 2)
+		}
+	})
+}
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -42,7 +42,7 @@
 func (m *Mesh) datagrams(digest *wire.Digest, others map[string]Node) []datagram {
 	var out []datagram
 	if len(others) < RelayThreshold {
-		m.setRole(role{})
+		m.setRole(role{isReader: m.isFirst(others)})
 		for name, n := range others {
 			out = append(out, datagram{n.Address, m.addressed(digest, name)})
 		}
@@ -67,6 +67,18 @@
 	return out
 }
 
+// isFirst reports whether this node comes first among the live ones, by the hashes of their names.
+func (m *Mesh) isFirst(others map[string]Node) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range others {
+		if m.isHeard(name) && NameHash(name) < NameHash(m.config.Node) {
+			return false
+		}
+	}
+	return true
+}
+
 // relaySet holds the relays of one data centre.
 type relaySet struct {
 	active    []string
