Let no node read for the others before it can have heard of them

Cause: in its first period each node heard of no other and took itself for the first, so that all of them polled the configuration at short intervals when they started together. Change: a node is the first only after the time within which it would have heard the others.

--- a/io/mesh/readers_test.go
+++ b/io/mesh/readers_test.go
@@ -227,6 +227,7 @@
 func TestOneOfFewNodesReadsTheConfigurationForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newReaderGroup(t, 9)
+		g.exchange(int(peerTTL / gossipPeriod))
 		for range 3 {
 			var readers []*member
 			for _, m := range g.nodes {
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -67,8 +67,12 @@
 	return out
 }
 
-// isFirst reports whether this node comes first among the live ones, by the hashes of their names.
+// isFirst reports whether this node comes first among the live ones, by the hashes of their names, once it has had the time to hear
+// from them.
 func (m *Mesh) isFirst(others map[string]Node) bool {
+	if time.Since(m.started) < peerTTL {
+		return false
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name := range others {
