Read a changed configuration whole, and a lost history at once

Cause: a member that learned of a version polled from the revision of its own latest read, which the history of the store no longer reaches after some 20 s. It got 410, paused for 0.3 s as after a failure, and read the table; so did the relay before it. The word of a table that was read whole told of a change at the revision of the read, another one at each node, so that others polled once more for nothing. A node that had fetched a version from another one went on from its old revision and read it again from the store.

Change: a node that knows that the configuration has changed reads the row at once; the first lost history in a while is followed by a read without a pause; the word of the configuration names the version of its one row; a follower goes on from what the node has fetched.

Evidence: TestLostHistoryIsReadAnewAtOnce and TestReadsOfOneVersionSayTheSame.

--- a/io/entry/follow.go
+++ b/io/entry/follow.go
@@ -45,9 +45,18 @@
 	confirmedAt time.Time      // when the store last confirmed that to this node, or to the one whose news it took
 	behindSince time.Time      // since when another node has known of a change that this one lacks; zero if none does
 	hasSnapshot bool
-	failures    int  // failed calls in a row
-	leaves      bool // this node leaves polling to others
-	isUrgent    bool // the next poll asks for an immediate answer
+	failures    int       // failed calls in a row
+	leaves      bool      // this node leaves polling to others
+	readsWhole  bool      // the topic has changed, and its one row is read without the history, which may not reach back to since
+	isUrgent    bool      // the next poll asks for an immediate answer
+	compactedAt time.Time // when the history was last found not to reach back to since
+}
+
+// losesHistory records that the history does not reach back to since, and reports whether that is the first time of late.
+func (f *follower) losesHistory() bool {
+	isFirst := time.Since(f.compactedAt) > maxRetryBackoff
+	f.hasSnapshot, f.compactedAt = false, time.Now()
+	return isFirst
 }
 
 // followTopic reads one topic and its changes until the context is canceled.
@@ -60,8 +69,9 @@
 		case errors.Is(err, errStoreSuspected):
 			f.isUrgent = true
 			continue
+		case store.Is(err, store.Compacted) && f.losesHistory():
+			continue // the store answers, and is read anew at once
 		case err != nil:
-			f.hasSnapshot = f.hasSnapshot && !store.Is(err, store.Compacted)
 			n.recordFailure(t, err)
 			if store.Is(err, store.Uncertain) {
 				n.polls.interruptOthers(t)
@@ -75,7 +85,7 @@
 			continue
 		}
 		n.recordSuccess(t, ch.word.ConfirmedAt)
-		f.failures, f.isUrgent = 0, false
+		f.failures, f.isUrgent, f.readsWhole = 0, false, false
 		f.hasSnapshot, f.since, f.confirmedAt = true, ch.word.Through, ch.word.ConfirmedAt
 		select {
 		case changes <- ch:
@@ -89,12 +99,18 @@
 // readChange reads a topic, or polls once for its changes. Its error is errStoreSuspected if the poll was interrupted.
 func (n *Node) readChange(ctx context.Context, f *follower) (change, error) {
 	askedAt := time.Now()
-	if !f.hasSnapshot {
+	p := n.pollFor(f)
+	if !f.hasSnapshot || f.readsWhole {
+		n.stats.Count("store-reads-" + f.topic.String())
+		if f.readsWhole {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, p.margin)
+			defer cancel()
+		}
 		rows, through, err := n.platform.Feed.Snapshot(ctx, f.topic)
 		return newChange(f, rows, through, askedAt), err
 	}
 	n.stats.Count("store-polls-" + f.topic.String())
-	p := n.pollFor(f)
 	ctx, cancel := context.WithTimeout(ctx, p.wait+p.margin)
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
@@ -111,7 +127,8 @@
 func newChange(f *follower, rows []store.FeedRow, through store.Revision, answeredAt time.Time) change {
 	ch := change{topic: f.topic, rows: rows, snapshot: !f.hasSnapshot, fromStore: true}
 	ch.word = mesh.Word{Through: through, Changed: through, ConfirmedAt: answeredAt}
-	if !ch.snapshot { // a snapshot does not tell when a row was removed
+	// A snapshot does not tell when a row was removed, but the one of the configuration is only replaced.
+	if !ch.snapshot || f.topic == store.Configuration && len(rows) > 0 {
 		ch.word.Changed.Number, ch.since = newestVersion(rows), f.since
 	}
 	return ch
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// takeFetched lets a follower go on from what this node has fetched from another one, so that it does not read the same from the store.
+func (n *Node) takeFetched(f *follower) {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	if w := n.words[f.topic]; f.hasSnapshot && w.Through.Era == f.since.Era && w.Through.Number > f.since.Number {
+		f.since = w.Through
+	}
+}
+
 // joinWords returns what a node knows that has all changes of two words. Of two eras of the store the later one counts.
 func joinWords(a, b mesh.Word) mesh.Word {
 	switch {
@@ -128,6 +137,7 @@
 	deadline := n.evidenceDeadline()
 	for ctx.Err() == nil && n.delegates() {
 		n.takeNews(ctx, f, changes)
+		n.takeFetched(f)
 		if n.mustPoll(f, deadline) {
 			return
 		}
@@ -170,6 +180,7 @@
 // mustPoll reports whether this node must poll for a topic itself: nobody has confirmed for long what it has, or it is behind and
 // the news that would tell it have not come.
 func (n *Node) mustPoll(f *follower, deadline time.Duration) bool {
+	f.readsWhole = false
 	evidence := n.mesh.EvidenceFor(f.topic, f.since)
 	if time.Since(f.confirmedAt) >= deadline && time.Since(evidence.ConfirmedAt) >= deadline {
 		return true
@@ -186,7 +197,8 @@
 	}
 	behindFor := time.Since(f.behindSince)
 	if f.topic == store.Configuration { // changes that come together are read together
-		return behindFor >= n.changeBound()/configReadsPerBound
+		f.readsWhole = behindFor >= n.changeBound()/configReadsPerBound
+		return f.readsWhole
 	}
 	return n.sinceRead(f.topic) >= deadline && behindFor >= newsDelay
 }
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -188,3 +188,55 @@
 		check("a later one", true, 10)
 	})
 }
+
+// TestReadsOfOneVersionSayTheSame guards against nodes that read one version again and again, as each that reads it whole seems to know
+// of a newer change than the others.
+func TestReadsOfOneVersionSayTheSame(t *testing.T) {
+	row := store.FeedRow{Value: []byte("{}"), Version: 7}
+	for _, f := range []follower{
+		{topic: store.Configuration}, {topic: store.Configuration, hasSnapshot: true, readsWhole: true},
+		{topic: store.Configuration, hasSnapshot: true},
+	} {
+		if got := newChange(&f, []store.FeedRow{row}, revision(90), time.Now()).word; got.Changed != revision(7) || got.Through != revision(90) {
+			t.Errorf("%+v: the word tells of a change at %+v through %+v, want 7 and 90", f, got.Changed, got.Through)
+		}
+	}
+}
+
+// TestLostHistoryIsReadAnewAtOnce guards against versions that come late as a node pauses before it reads what the history has lost.
+func TestLostHistoryIsReadAnewAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &compactedFeed{}
+		n := New(Config{DrainBound: 3 * time.Second, ApplyBound: 3 * time.Second}, Platform{
+			NewEngines: func(*hop.Pool) Engines { return nil }, Feed: feed}, logr.Discard())
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		changes := make(chan change, 100)
+		_ = n.followTopic(ctx, store.Configuration, changes)
+		if len(feed.reads) < 2 || feed.reads[1] > 0 {
+			t.Errorf("reads %v after the answers that history is lost, want the first at once", feed.reads)
+		}
+		if most := 2 + int(10*time.Second/retryBackoff); len(feed.reads) > most {
+			t.Errorf("%d reads in 10 s of a store that always loses its history, want %d at most: the first two and one a pause", len(feed.reads), most)
+		}
+	})
+}
+
+// compactedFeed is a feed that has always lost its history.
+type compactedFeed struct {
+	lateFeed
+	compactedAt time.Time
+	reads       []time.Duration // since the history was found lost
+}
+
+// Snapshot returns no rows.
+func (f *compactedFeed) Snapshot(context.Context, store.Topic) ([]store.FeedRow, store.Revision, error) {
+	f.reads = append(f.reads, time.Since(f.compactedAt))
+	return nil, revision(9), nil
+}
+
+// Changes fails.
+func (f *compactedFeed) Changes(context.Context, store.Topic, store.Revision, time.Duration) ([]store.FeedRow, store.Revision, error) {
+	f.compactedAt = time.Now()
+	return nil, store.Revision{}, store.NewError(store.Compacted, "gone")
+}
