Say that a route does not exist only by a recent confirmation of the configuration

Cause: the age of the node's own reads decided, with 12 s allowed for the poll that the store holds and the list's polls as a sign that the store is reached, which is not one for this topic. Change: the same belief decides as everywhere else, the youngest confirmation of the node itself or of another one, and it must be younger than the bound on changes. A version of a seed without the store's word confirms nothing.

Evidence: the tests of io/entry; TestUnreadableConfigurationIsNotConfirmed has the case of the seed.

--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -252,19 +252,10 @@
 }
 
 // isConfigCurrent reports whether the configuration is known to be the newest, apart from changes so recent that they
-// need not be in force yet. While the poll for it waits, the polls for the list show whether the store is reached.
+// need not be in force yet.
 func (n *Node) isConfigCurrent() bool {
-	if n.lacksNewestRules.Load() {
-		return false
-	}
-	if time.Since(n.evidence(store.Configuration).ConfirmedAt) < n.settings.Load().ApplyBound {
-		return true
-	}
-	n.storeMu.Lock()
-	defer n.storeMu.Unlock()
-	return !n.storeFailing[store.Configuration] &&
-		time.Since(n.storeReadAt[store.Configuration]) < configWait+n.settings.Load().ApplyBound &&
-		time.Since(n.storeReadAt[store.Upstreams]) < n.settings.Load().ApplyBound
+	b := n.believes(store.Configuration)
+	return !n.lacksNewestRules.Load() && b.by != "" && b.age < n.settings.Load().ApplyBound
 }
 
 // lacksTeams reports whether a configuration has no list of teams although the settings require one. It says neither who may send
--- a/io/entry/readers_test.go
+++ b/io/entry/readers_test.go
@@ -175,6 +175,8 @@
 					isCurrent)
 			}
 		}
+		c.handle(change{topic: store.Configuration, rows: []store.FeedRow{{Value: []byte{1}}}, from: mesh.Peer{Name: seedName}})
+		check("a version of a seed, without the store's word", false, 0)
 		poll(5, store.FeedRow{Value: []byte{1}, Version: 5})
 		check("a version", true, 5)
 		poll(7, store.FeedRow{Value: []byte{0}, Version: 7})
