--- a/io/entry/follow_test.go
+++ b/io/entry/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,13 +154,13 @@
 // hangingFeed is a feed of the configuration whose held polls get no answer, as on connections that have gone silent, while others do.
 type hangingFeed struct {
 	lateFeed
-	versions []store.FeedRow
+	version atomic.Uint32 // the latest one, which is also the revision
 }
 
 // Snapshot returns the latest version.
 func (f *hangingFeed) Snapshot(context.Context, store.Topic) ([]store.FeedRow, store.Revision, error) {
-	latest := f.versions[len(f.versions)-1]
-	return []store.FeedRow{latest}, revision(latest.Version), nil
+	latest := f.version.Load()
+	return []store.FeedRow{{Value: []byte{byte(latest)}, Version: uint64(latest)}}, revision(uint64(latest)), nil
 }
 
 // Changes returns the latest version to a call that does not wait.
@@ -182,7 +183,8 @@
 func TestHangingPollDelaysNoConfiguration(t *testing.T) {
 	const bound = 2 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		feed := &hangingFeed{versions: []store.FeedRow{{Value: []byte{1}, Version: 1}}}
+		feed := &hangingFeed{}
+		feed.version.Store(1)
 		n := New(Config{DrainBound: bound, ApplyBound: bound, DatagramAddress: "127.0.0.1:0", RPCAddress: "127.0.0.1:0"}, Platform{
 			NewEngines: func(*hop.Pool) Engines { return nil }, Feed: feed,
 			DecodeRules: func(raw []byte) (*rules.Rules, error) {
@@ -195,9 +197,9 @@
 		ended.Go(func() { _ = c.run(ctx, changes) })
 		ended.Go(func() { _ = n.followTopic(ctx, store.Configuration, changes) })
 		ended.Go(func() { _ = n.fetchFromNodes(ctx, changes) })
-		for version := byte(2); version < 8; version++ {
+		for version := uint32(2); version < 8; version++ {
 			time.Sleep(3*time.Second + time.Duration(version)*170*time.Millisecond) // at other moments of a poll
-			feed.versions = append(feed.versions, store.FeedRow{Value: []byte{version}, Version: uint64(version)})
+			feed.version.Store(version)
 			time.Sleep(bound)
 			if got, _ := n.Versions(); got != uint64(version) {
 				t.Errorf("version %d is in force %v after the acknowledgement of version %d", got, bound, version)
