--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -10,9 +10,9 @@
 )
 
 // Where the nodes are few, one of them polls for the configuration at short intervals, and the others hold long polls, which they
-// interrupt once neither it nor the store has confirmed for a time what they have. Where the nodes are many, few of them poll the store and say in their digests when it last confirmed what they
-// have. The others poll only if they learn of something newer, or if the latest confirmation is so old that a poll which begins
-// later might end too late.
+// interrupt once neither it nor the store has confirmed for a time what they have. Where the nodes are many, few of them poll the
+// store and say in their digests when it last confirmed what they have. The others poll only if they learn of something newer, or if
+// the latest confirmation is so old that a poll which begins later might end too late.
 const (
 	dutyInterval     = 100 * time.Millisecond // between looks at the evidence
 	readerPauseShare = 0.1                    // of the bound on changes, between the polls of a node that reads for others
