--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -166,7 +166,6 @@
 	n.stats.Gauge("caller-bytes-evictions", func() any { return n.callerBudget.Evicted() })
 	n.stats.Gauge("connections-from-callers", func() any { return n.callerConns.Load() })
 	n.stats.Gauge("configuration-version", func() any { version, _ := n.Versions(); return version })
-	n.stats.Gauge("configuration-confirmed-ms", func() any { return n.believes(store.Configuration).age.Milliseconds() })
 	n.lease.SetHolderActive(n.mesh.IsPlannerActive)
 	n.lease.SetStandby(n.leavesLease)
 	n.lease.SetEligible(func() bool { return !tracker.IsIsolated() })
